--- a/core/guavaconfig/validate.go
+++ b/core/guavaconfig/validate.go
@@ -28,6 +28,15 @@
 	return strings.Join(lines, "\n")
 }
 
+// WithFile returns the faults with the name of the file before each path.
+func (p ValidationErrors) WithFile(file string) ValidationErrors {
+	named := slices.Clone(p)
+	for i := range named {
+		named[i].Path = file + ": " + named[i].Path
+	}
+	return named
+}
+
 func (p *ValidationErrors) add(path string, value any, allowed string) {
 	text := fmt.Sprint(value)
 	if s, ok := value.(string); ok {
--- a/core/guavajob/item.go
+++ b/core/guavajob/item.go
@@ -11,8 +11,9 @@
 	// MaxAttempts is the largest number of times that an item is sent to backend servers.
 	MaxAttempts = 4
 	// MaxCrashes is the number of crashes after which an item that crashed a server while it ran alone ends with an
-	// error. A second crash, without other batch work on the server, leaves little doubt about the cause.
-	MaxCrashes = 2
+	// error. Alone means without other batch work: an online request can be the cause. That is refused everywhere after
+	// two crashes one after the other (guavapoison), so a third in a row is the item's own.
+	MaxCrashes = 3
 	// MaxRefusals bounds the answers "not run" of overloaded or unreachable servers. They do not count as attempts:
 	// at a wait of up to 30 s this outlasts an outage of 45 minutes.
 	MaxRefusals = 100
--- /dev/null
+++ b/core/guavamember/rank.go
@@ -0,0 +1,27 @@
+package guavamember
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Rank orders VMs by the hash of key and name, highest first. All callers with the same VMs get the same order, and a VM
+// that comes or goes moves no other.
+func Rank(key string, vms []Identity) []Identity {
+	type weighted struct {
+		vm     Identity
+		weight uint64
+	}
+	list := make([]weighted, 0, len(vms))
+	for _, v := range vms {
+		list = append(list, weighted{vm: v, weight: weight(key, v.Name)})
+	}
+	slices.SortFunc(list, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.vm.Name, b.vm.Name))
+	})
+	ranked := make([]Identity, 0, len(list))
+	for _, w := range list {
+		ranked = append(ranked, w.vm)
+	}
+	return ranked
+}
--- a/core/guavamember/table.go
+++ b/core/guavamember/table.go
@@ -62,6 +62,7 @@
 type entry struct {
 	Member
 	heardAt  time.Time
+	met      bool // this process of the VM has sent a message itself
 	draining bool // announced by the VM itself
 	// reported is the state that VMs of its own domain last reported, by their names; empty inside the own domain.
 	reported map[string]State
@@ -97,6 +98,7 @@
 	}
 	e.Counter = max(e.Counter, counter)
 	e.heardAt = time.Now()
+	e.met = true
 	e.draining = draining
 	ev := heard
 	if draining {
@@ -194,6 +196,7 @@
 		delete(t.byAddress, e.Address)
 		e.Identity = id
 		e.Counter = 0
+		e.met = false
 		e.draining = false
 		e.reported = nil
 		changes = t.step(changes, e, restart)
--- a/core/guavamember/table_test.go
+++ b/core/guavamember/table_test.go
@@ -137,6 +137,66 @@
 	}
 }
 
+// TestHearsay guards against a live VM that other domains take for suspect because a VM of its own domain, which has only been
+// told of it, reports it so.
+func TestHearsay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := guavamember.NewTable(id("self", "a", 1))
+		tab.Learn([]guavamember.News{{Identity: id("x", "a", 1), State: guavamember.Alive}})
+		reported := func() guavamember.State {
+			for _, n := range tab.News() {
+				if n.Name == "x" {
+					return n.State
+				}
+			}
+			return ""
+		}
+		if s := reported(); s != "" {
+			t.Errorf("told of, not heard: reported as %q", s)
+		}
+		if n := len(tab.Known("b", 2)); n != 2 {
+			t.Errorf("told of, not heard: %d VMs known, want 2", n)
+		}
+		tab.Heard(id("x", "a", 1), 1, false)
+		if s := reported(); s != guavamember.Alive {
+			t.Errorf("heard: reported as %q", s)
+		}
+		tick(tab, 4*time.Second)
+		if s := reported(); s != guavamember.Suspect {
+			t.Errorf("silent after it was heard: reported as %q", s)
+		}
+		tab.Learn([]guavamember.News{{Identity: id("y", "a", 1), State: guavamember.Alive}})
+		tick(tab, 9*time.Second)
+		gone := 0
+		for _, n := range tab.News() {
+			if n.State == guavamember.Gone {
+				gone++
+			}
+		}
+		if gone != 2 {
+			t.Errorf("%d VMs reported gone, want the one that fell silent and the one never heard", gone)
+		}
+	})
+}
+
+// TestKnownOfAsker guards against a VM that learns of those of its own domain by chance only: other domains show it a few.
+func TestKnownOfAsker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := guavamember.NewTable(id("self", "a", 1))
+		for i := range 5 {
+			tab.Heard(id(fmt.Sprintf("b%d", i), "b", 1), 1, false)
+			tab.Heard(id(fmt.Sprintf("c%d", i), "c", 1), 1, false)
+		}
+		count := map[string]int{}
+		for _, n := range tab.Known("b", 2) {
+			count[n.Domain]++
+		}
+		if d := cmp.Diff(map[string]int{"a": 1, "b": 5, "c": 2}, count); d != "" {
+			t.Errorf("known to a VM of b (-want +got):\n%s", d)
+		}
+	})
+}
+
 // TestAbsent guards against reclaiming the slot of a VM that still runs.
 func TestAbsent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/guavamember/view.go
+++ b/core/guavamember/view.go
@@ -73,31 +73,39 @@
 	return e.Member, true
 }
 
-// News returns the VMs of the own domain as this VM sees them, the own VM included.
+// News returns the VMs of the own domain as this VM sees them, the own VM included. A VM that others told of is suspect until
+// it is heard and left out until then: its state is no finding of this VM's, and told on it would make a live VM suspect in
+// other domains.
 func (t *Table) News() []News {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	return t.own(func(e *entry) bool { return e.met || e.State != Suspect })
+}
+
+// own returns the own VM and those of the own domain that are wanted. It is called with the lock held.
+func (t *Table) own(wanted func(e *entry) bool) []News {
 	s := Alive
 	if t.leaving {
 		s = Leaving
 	}
 	news := []News{{Identity: t.self, State: s}}
 	for _, e := range t.entries {
-		if e.Domain == t.self.Domain && e.Incarnation != 0 {
+		if e.Domain == t.self.Domain && e.Incarnation != 0 && wanted(e) {
 			news = append(news, News{Identity: e.Identity, State: e.State})
 		}
 	}
 	return news
 }
 
-// Known returns the VMs of the own domain and up to limit live VMs of each other domain, chosen at random.
-func (t *Table) Known(limit int) []News {
-	news := t.News()
+// Known returns what a VM of a domain that has just started needs: the VMs of the own domain, the live ones of its domain,
+// and up to limit live VMs of each other domain, chosen at random.
+func (t *Table) Known(domain string, limit int) []News {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	news := t.own(func(*entry) bool { return true })
 	chosen := map[string]int{}
 	for _, e := range t.entries { // in random order
-		if e.Domain != t.self.Domain && e.State == Alive && chosen[e.Domain] < limit {
+		if e.Domain != t.self.Domain && e.State == Alive && (e.Domain == domain || chosen[e.Domain] < limit) {
 			chosen[e.Domain]++
 			news = append(news, News{Identity: e.Identity, State: e.State})
 		}
--- /dev/null
+++ b/core/guavaprogress/job.go
@@ -0,0 +1,197 @@
+// Package guavaprogress holds the states of batch jobs whose items run as streams, and the rules for when an item is done,
+// sent again, or given up.
+package guavaprogress
+
+import (
+	"errors"
+	"time"
+)
+
+// Job is what is durable about a job.
+type Job struct {
+	ID      string `json:"id"`
+	Account string `json:"account"`
+	Route   string `json:"route"`
+	// Service runs the items.
+	Service string `json:"service"`
+	Host    string `json:"host"`
+	Total   int    `json:"total"`
+	// Listed is the number of results, which stand at positions 0 to Listed-1.
+	Listed int `json:"listed"`
+	// Ended jobs were ended by their client.
+	Ended bool `json:"ended,omitempty"`
+	// Owner is the VM that runs the job, and Incarnation the start of its process. An empty owner leaves the job to others.
+	Owner       string `json:"owner"`
+	Incarnation uint64 `json:"incarnation"`
+	// Times in Unix milliseconds: when the job was accepted, when results are due, when items may be given up.
+	Accepted int64 `json:"accepted"`
+	Due      int64 `json:"due"`
+	Retained int64 `json:"retained"`
+	// Closed is when the job got its last result or was ended, 0 before.
+	Closed   int64 `json:"closed,omitempty"`
+	Attempts int   `json:"attempts"`
+	Priority int   `json:"priority"`
+}
+
+// IsOpen reports whether the job has items to run.
+func (j Job) IsOpen() bool { return !j.Ended && j.Listed < j.Total }
+
+// IsOwned reports whether a process owns the job.
+func (j Job) IsOwned(vm string, incarnation uint64) bool {
+	return j.Owner == vm && j.Incarnation == incarnation
+}
+
+// WithOwner returns the job with another owner.
+func (j Job) WithOwner(vm string, incarnation uint64) Job {
+	j.Owner, j.Incarnation = vm, incarnation
+	return j
+}
+
+// WithListed returns the job with more results.
+func (j Job) WithListed(more int, now time.Time) Job {
+	j.Listed += more
+	if j.Listed >= j.Total && j.Closed == 0 {
+		j.Closed = now.UnixMilli()
+	}
+	return j
+}
+
+// WithEnd returns the job ended by its client.
+func (j Job) WithEnd(now time.Time) Job {
+	j.Ended = true
+	if j.Closed == 0 {
+		j.Closed = now.UnixMilli()
+	}
+	return j
+}
+
+// Item is one request of a job.
+type Item struct {
+	ID      string
+	Path    string
+	Headers map[string]string
+	Body    []byte
+	// Tokens is the memory that the item needs at most, and Output its part that is made.
+	Tokens int
+	Output int
+	Hint   int
+	// Affinity is a hash of the prompt parts that other items share, 0 for none.
+	Affinity uint64
+}
+
+// State is the final state of an item.
+type State string
+
+// The final states.
+const (
+	Succeeded State = "succeeded"
+	Dead      State = "dead"
+)
+
+// Result is a listed item.
+type Result struct {
+	ID    string `json:"id"`
+	State State  `json:"state"`
+	Text  string `json:"text"`
+	// Object names the object that holds the text, if it is too long for a row.
+	Object string `json:"object,omitempty"`
+	// Reason says why an item was given up.
+	Reason string `json:"reason,omitempty"`
+}
+
+// ErrOrder means that an event does not follow the one before.
+var ErrOrder = errors.New("event out of order")
+
+// Progress is what an item has so far.
+type Progress struct {
+	text   []byte
+	last   int
+	events int
+	// failures counts answers that say that the item ran and failed,
+	// crashes runs that ended without any event because the server died.
+	failures int
+	crashes  int
+}
+
+// NewProgress returns the progress of an item that has not run.
+func NewProgress() *Progress { return &Progress{last: -1} }
+
+// Saved is progress as it is kept in the store.
+type Saved struct {
+	Text     string `json:"text"`
+	Last     int    `json:"last"`
+	Events   int    `json:"events"`
+	Failures int    `json:"failures"`
+	Crashes  int    `json:"crashes"`
+}
+
+// Save returns the progress for the store.
+func (p *Progress) Save() Saved {
+	return Saved{Text: string(p.text), Last: p.last, Events: p.events, Failures: p.failures, Crashes: p.crashes}
+}
+
+// Restore returns the progress that was saved.
+func Restore(s Saved) *Progress {
+	return &Progress{text: []byte(s.Text), last: s.Last, events: s.Events, failures: s.Failures, crashes: s.Crashes}
+}
+
+// Last returns the number of the last event, -1 before the first.
+func (p *Progress) Last() int { return p.last }
+
+// Events returns the number of events so far.
+func (p *Progress) Events() int { return p.events }
+
+// Text returns the data of all events, separated by line feeds.
+func (p *Progress) Text() string { return string(p.text) }
+
+// Add takes in an event. Numbers of events follow each other without gaps; the first may be any.
+func (p *Progress) Add(id int, data []byte) error {
+	if p.events > 0 && id != p.last+1 {
+		return ErrOrder
+	}
+	if p.events > 0 {
+		p.text = append(p.text, '\n')
+	}
+	p.text = append(p.text, data...)
+	p.last = id
+	p.events++
+	return nil
+}
+
+// Verdict is what follows a run.
+type Verdict string
+
+// The verdicts on items.
+const (
+	// Again sends the item again, from where it stands.
+	Again Verdict = "again"
+	// Hold keeps the item back for a while: it seems to crash servers.
+	Hold Verdict = "hold"
+	// GiveUp lists the item as dead.
+	GiveUp Verdict = "give up"
+)
+
+// mostCrashes is the number of servers that an item may crash before it is held back.
+const mostCrashes = 3
+
+// Fail takes in an answer that says that the item ran and failed.
+func (p *Progress) Fail(attempts int) Verdict {
+	p.failures++
+	if p.failures >= attempts {
+		return GiveUp
+	}
+	return Again
+}
+
+// Crash takes in a run that broke off, with the number of events that it had made.
+func (p *Progress) Crash(made int) Verdict {
+	if made > 0 {
+		p.crashes = 0
+		return Again
+	}
+	p.crashes++
+	if p.crashes >= mostCrashes {
+		return Hold
+	}
+	return Again
+}
--- /dev/null
+++ b/core/guavatraffic/config.go
@@ -0,0 +1,113 @@
+// Package guavatraffic holds what operators and backend servers declare on a shared platform: routes, services, client
+// accounts and servers.
+package guavatraffic
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Config is one version of the whole configuration. It does not change once built.
+type Config struct {
+	Version  uint64
+	Limits   Limits
+	Routes   []Route
+	Services map[string]Service
+	Accounts map[string]Account
+
+	byHost    map[string][]Route
+	accountOf map[string]string // by key
+}
+
+// NewConfig returns a configuration with its routes and keys indexed.
+func NewConfig(version uint64, l Limits, routes []Route, services []Service, accounts []Account) *Config {
+	c := &Config{
+		Version: version, Limits: l, Routes: routes,
+		Services: make(map[string]Service, len(services)), Accounts: make(map[string]Account, len(accounts)),
+		byHost: map[string][]Route{}, accountOf: map[string]string{},
+	}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for _, a := range accounts {
+		c.Accounts[a.Name] = a
+		for _, k := range a.Keys {
+			c.accountOf[k] = a.Name
+		}
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	return c
+}
+
+// Route returns the route with the longest prefix of the path among those of the host. A port after the host does not
+// count.
+func (c *Config) Route(host, path string) (Route, bool) {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i > 0 {
+		host = host[:i]
+	}
+	best, found := Route{}, false
+	for _, r := range c.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) && (!found || len(r.Prefix) > len(best.Prefix)) {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
+
+// RouteNamed returns the route with a name.
+func (c *Config) RouteNamed(name string) (Route, bool) {
+	for _, r := range c.Routes {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Account returns the client account that holds a key.
+func (c *Config) Account(key string) (Account, bool) {
+	name, ok := c.accountOf[key]
+	if !ok {
+		return Account{}, false
+	}
+	return c.Accounts[name], true
+}
+
+// HasAccounts reports whether requests must carry a key on routes that are not open to all.
+func (c *Config) HasAccounts() bool { return len(c.Accounts) > 0 }
+
+// Priority returns the rank of a request, 0 first. That of the client account goes before that of the route.
+func (c *Config) Priority(r Route, account string) int {
+	if a, ok := c.Accounts[account]; ok && a.Priority != nil {
+		return *a.Priority
+	}
+	return r.Priority
+}
+
+// Service picks the service that a request of the route goes to. Requests are spread by the weights; the same id always
+// gets the same service.
+func (r Route) Service(id string) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	n := int(xxhash.Sum64String(id) % uint64(total)) //nolint:gosec // below total
+	for _, t := range r.Targets {
+		if n < t.Weight {
+			return t.Service
+		}
+		n -= t.Weight
+	}
+	return ""
+}
--- a/guavaridge.go
+++ b/guavaridge.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"guavaridge/io/guavanode"
-	"guavaridge/io/guavaplatform"
+	"guavaridge/io/guavaremote"
 	"guavaridge/io/guavasettings"
 )
 
@@ -35,7 +35,7 @@
 	if s.Platform == "" {
 		return nil, errors.New("platform: \"\" is not allowed; want an IP number and port")
 	}
-	p, err := guavaplatform.New(s.Platform, guavaplatform.WithVM(s.Domain, s.Name))
+	p, err := guavaremote.New(s.Platform, guavaremote.WithVM(s.Domain, s.Name))
 	if err != nil {
 		return nil, errors.Newf("connect to the platform: %w", err)
 	}
@@ -50,7 +50,7 @@
 // connected is a VM that closes its connection to the platform when it has stopped.
 type connected struct {
 	*guavanode.Node
-	platform *guavaplatform.Client
+	platform *guavaremote.Client
 }
 
 // Run implements VM.
--- a/internal/guavafabric/fabric.go
+++ b/internal/guavafabric/fabric.go
@@ -9,11 +9,9 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/grpc/test/bufconn"
-)
 
-// bufferSize is the buffer of one direction of an in-memory connection in bytes.
-const bufferSize = 16 << 10
+	"guavaridge/io/guavanetwork"
+)
 
 var errCut = errors.New("no route")
 
@@ -24,7 +22,7 @@
 
 // Fabric is a network of VMs that are known by address. It is safe for concurrent use.
 type Fabric struct {
-	tcp bool
+	memory *guavanetwork.Network // nil over TCP
 
 	mu        sync.Mutex
 	listeners map[string]net.Listener
@@ -49,19 +47,19 @@
 
 // New returns a fabric over loopback TCP, or in memory.
 func New(tcp bool) *Fabric {
-	f := &Fabric{tcp: tcp, listeners: map[string]net.Listener{}, counts: map[string]*Count{}, conns: map[*conn]bool{}}
+	f := &Fabric{listeners: map[string]net.Listener{}, counts: map[string]*Count{}, conns: map[*conn]bool{}}
 	f.fault.Store(newFault(nil))
+	if !tcp {
+		f.memory = guavanetwork.New()
+	}
 	return f
 }
 
 // Listen returns the listener of a VM.
 func (f *Fabric) Listen(address string) (net.Listener, error) {
-	var l net.Listener = bufconn.Listen(bufferSize)
-	if f.tcp {
-		var err error
-		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-			return nil, err
-		}
+	l, err := f.open(address)
+	if err != nil {
+		return nil, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -69,6 +67,20 @@
 	return l, nil
 }
 
+func (f *Fabric) open(address string) (net.Listener, error) {
+	if f.memory == nil {
+		return net.Listen("tcp", "127.0.0.1:0")
+	}
+	return f.memory.Listen(address, address)
+}
+
+func (f *Fabric) connect(ctx context.Context, from, to string, l net.Listener) (net.Conn, error) {
+	if f.memory == nil {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", l.Addr().String())
+	}
+	return f.memory.Dial(ctx, from, to)
+}
+
 // Dialer returns the function with which a VM connects to others.
 func (f *Fabric) Dialer(from string) func(ctx context.Context, to string) (net.Conn, error) {
 	return func(ctx context.Context, to string) (net.Conn, error) {
@@ -82,13 +94,7 @@
 		if l == nil {
 			return nil, errors.Newf("connection to %s refused", to)
 		}
-		var inner net.Conn
-		var err error
-		if b, ok := l.(*bufconn.Listener); ok {
-			inner, err = b.DialContext(ctx)
-		} else {
-			inner, err = (&net.Dialer{}).DialContext(ctx, "tcp", l.Addr().String())
-		}
+		inner, err := f.connect(ctx, from, to, l)
 		if err != nil {
 			return nil, err
 		}
