--- a/io/guavaback/backend.go
+++ b/io/guavaback/backend.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavaridge/core/guavaretry"
+	"guavaridge/io/guavapool"
 )
 
 // Headers between VMs and backend servers.
@@ -40,12 +41,9 @@
 
 // Counters counts what a client did. The fields may be read at any time.
 type Counters struct {
+	guavapool.Counters
 	// Dropped counts answers and events that carried another identifier.
 	Dropped atomic.Uint64
-	// Dials counts connections opened.
-	Dials atomic.Uint64
-	// Stale counts idle connections that the backend server had closed.
-	Stale atomic.Uint64
 	// Cancels counts attempts cancelled at engines.
 	Cancels atomic.Uint64
 }
@@ -78,13 +76,13 @@
 const cancelTimeout = 2 * time.Second
 
 type backend struct {
-	dial        func(ctx context.Context, network, address string) (net.Conn, error)
+	dial        guavapool.Dial
 	dialTimeout time.Duration
 	idleTime    time.Duration
 	idleLimit   int
 	bodyLimit   int
 	counters    *Counters
-	pool        *pool
+	pool        *guavapool.Pool
 	cancels     sync.WaitGroup
 }
 
@@ -101,14 +99,14 @@
 	for _, o := range options {
 		o(b)
 	}
-	b.pool = newPool(b.idleTime, b.idleLimit)
+	b.pool = guavapool.New(b.dial, b.dialTimeout, b.idleTime, b.idleLimit, &b.counters.Counters)
 	return b
 }
 
 // Close implements Client. It waits for cancellations under way.
 func (b *backend) Close() {
 	b.cancels.Wait()
-	b.pool.close()
+	b.pool.Close()
 }
 
 // Do implements Client.
--- a/io/guavaback/events.go
+++ b/io/guavaback/events.go
@@ -10,6 +10,9 @@
 	"sync"
 )
 
+// eventSize is the size of the buffer from which events are read, in bytes. Every open stream holds one.
+const eventSize = 4 << 10
+
 // maxEvent bounds one server-sent event in bytes.
 const maxEvent = 4 << 20
 
--- a/io/guavaback/exchange.go
+++ b/io/guavaback/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"guavaridge/io/guavapool"
 )
 
 // exchange is one request on one connection and its answer.
@@ -31,27 +33,27 @@
 	if err := ctx.Err(); err != nil {
 		return Answer{}, err
 	}
-	c, err := x.backend.connect(ctx, x.attempt.Address)
+	c, err := x.backend.pool.Connect(ctx, x.attempt.Address)
 	if err != nil {
-		return Answer{}, fmt.Errorf("connect to %s: %w", x.attempt.Address, err)
+		return Answer{}, err
 	}
 	answer, reuse, err := x.on(ctx, c)
-	if err != nil && !x.sent && c.reused && ctx.Err() == nil {
+	if err != nil && !x.sent && c.Reused && ctx.Err() == nil {
 		// The idle connection was gone and took no byte, so a new connection is the first sending.
 		x.backend.counters.Stale.Add(1)
-		if c, err = x.backend.open(ctx, x.attempt.Address); err != nil {
-			return Answer{}, fmt.Errorf("connect to %s: %w", x.attempt.Address, err)
+		if c, err = x.backend.pool.Open(ctx, x.attempt.Address); err != nil {
+			return Answer{}, err
 		}
 		answer, reuse, err = x.on(ctx, c)
 	}
 	if reuse {
-		x.backend.pool.put(x.attempt.Address, c)
+		x.backend.pool.Put(x.attempt.Address, c)
 	}
 	return answer, err
 }
 
 // on runs the exchange on a connection and closes it unless it can be used again.
-func (x *exchange) on(ctx context.Context, c *conn) (answer Answer, reuse bool, err error) {
+func (x *exchange) on(ctx context.Context, c *guavapool.Connection) (answer Answer, reuse bool, err error) {
 	if ctx.Done() != nil {
 		stop := context.AfterFunc(ctx, func() { c.Close() })
 		defer func() {
@@ -66,7 +68,7 @@
 		}
 	}()
 	err = x.write(ctx, c)
-	x.sent = c.written > 0
+	x.sent = c.Written > 0
 	if err != nil {
 		x.broken = x.sent
 		return Answer{}, false, fmt.Errorf("send to %s: %w", x.attempt.Address, err)
@@ -76,7 +78,7 @@
 	r.Header.SetNoDefaultContentType(true)
 	r.StreamBody = x.attempt.Stream
 	r.SkipBody = x.attempt.Method == fasthttp.MethodHead
-	if err := r.ReadLimitBody(c.reader, x.backend.bodyLimit); err != nil {
+	if err := r.ReadLimitBody(c.Reader, x.backend.bodyLimit); err != nil {
 		x.broken = !errors.Is(err, fasthttp.ErrBodyTooLarge)
 		return Answer{}, false, fmt.Errorf("read answer of %s: %w", x.attempt.Address, err)
 	}
@@ -115,7 +117,7 @@
 const drainTimeout = 100 * time.Millisecond
 
 // drain reads the end of a stream's body, so that the connection can be used again.
-func (x *exchange) drain(c *conn, r *fasthttp.Response) bool {
+func (x *exchange) drain(c *guavapool.Connection, r *fasthttp.Response) bool {
 	if r.ConnectionClose() || c.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
 		return false
 	}
@@ -129,7 +131,7 @@
 }
 
 // write sends the request.
-func (x *exchange) write(ctx context.Context, c *conn) error {
+func (x *exchange) write(ctx context.Context, c *guavapool.Connection) error {
 	a := x.attempt
 	q := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(q)
@@ -158,11 +160,11 @@
 	if len(body) > 0 {
 		q.SetBodyRaw(body)
 	}
-	c.writer.Reset(c)
-	if err := q.Write(c.writer); err != nil {
+	c.Writer.Reset(c)
+	if err := q.Write(c.Writer); err != nil {
 		return err
 	}
-	return c.writer.Flush()
+	return c.Writer.Flush()
 }
 
 // resume adds the field resume at the start of a JSON object.
--- a/io/guavabatch/cancel_test.go
+++ b/io/guavabatch/cancel_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
 	"guavaridge/core/guavajob"
@@ -210,6 +211,34 @@
 	})
 }
 
+// TestFileOfEditor guards against a byte order mark that spoils the first line.
+func TestFileOfEditor(t *testing.T) {
+	run(t, time.Second, func(t *testing.T, f *fleet) {
+		a := f.start("a", "e0")
+		job := f.submit(a, "print", "n", "\ufeff"+lines("x", 2, chatPath, "m"), chatPath)
+		if len(job.Bad) > 0 {
+			t.Errorf("bad lines: %+v", job.Bad)
+		}
+	})
+}
+
+// TestDuplicateIdentifiers guards against results that cannot be told apart.
+func TestDuplicateIdentifiers(t *testing.T) {
+	run(t, time.Second, func(t *testing.T, f *fleet) {
+		a := f.start("a", "e0")
+		content := lines("x", 20, chatPath, "m")
+		content += strings.SplitAfter(content, "\n")[6]
+		file, err := a.service.Upload(t.Context(), "print", "n", "batch", strings.NewReader(content))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = a.service.Submit(t.Context(), guavabatch.Submission{Account: "print", File: file.ID, Path: chatPath})
+		if !errors.Is(err, guavabatch.ErrInvalid) || !strings.Contains(err.Error(), "lines 7 and 21") {
+			t.Errorf("got %v, want an invalid job with lines 7 and 21", err)
+		}
+	})
+}
+
 // TestFairness guards against a job of many items that keeps a small one of another client account waiting.
 func TestFairness(t *testing.T) {
 	run(t, time.Second, func(t *testing.T, f *fleet) {
--- a/io/guavabatch/claim.go
+++ b/io/guavabatch/claim.go
@@ -28,11 +28,10 @@
 			r.visitOne(ctx)
 		}
 		r.visitChecked(ctx)
-		claimed := r.claimNext(ctx)
-		t := time.NewTimer(min(r.poll, claimEvery))
-		if claimed {
-			t.Reset(0)
+		if r.claimNext(ctx) && ctx.Err() == nil {
+			continue
 		}
+		t := time.NewTimer(min(r.poll, claimEvery))
 		select {
 		case <-ctx.Done():
 			t.Stop()
--- a/io/guavabatch/jobs.go
+++ b/io/guavabatch/jobs.go
@@ -109,7 +109,7 @@
 	}
 	defer r.Close()
 	parts, err := splitFile(ctx, s.store, id, in.Path, known, r)
-	if errors.Is(err, errTooMany) {
+	if errors.Is(err, errTooMany) || errors.Is(err, errDuplicate) {
 		return guavajob.Job{}, errors.Mark(err, ErrInvalid)
 	} else if err != nil {
 		return guavajob.Job{}, err
--- a/io/guavabatch/split.go
+++ b/io/guavabatch/split.go
@@ -26,6 +26,8 @@
 	splitWrites = 4
 	// shownBad is the number of bad lines held in the job's row.
 	shownBad = 100
+	// byteOrderMark is what some editors write before the first line of a file in UTF-8.
+	byteOrderMark = "\ufeff"
 )
 
 // split is the outcome of reading an input file.
@@ -46,6 +48,7 @@
 	out   split
 	open  map[string]*bytes.Buffer
 	count map[string]int
+	ids   identifiers
 	group *errgroup.Group
 	ctx   context.Context
 	bad   *json.Encoder
@@ -82,6 +85,11 @@
 
 func (p *splitter) run(r io.Reader) error {
 	in := bufio.NewReaderSize(r, 64<<10)
+	if mark, err := in.Peek(len(byteOrderMark)); err == nil && string(mark) == byteOrderMark {
+		if _, err := in.Discard(len(mark)); err != nil {
+			return errors.Newf("read byte order mark: %w", err)
+		}
+	}
 	for number := 1; ; number++ {
 		line, long, err := readLine(in)
 		if err != nil && !errors.Is(err, io.EOF) {
@@ -100,6 +108,9 @@
 	for _, m := range p.out.models {
 		p.flush(m)
 	}
+	if err := p.ids.check(); err != nil {
+		return err
+	}
 	return p.ctx.Err()
 }
 
@@ -137,6 +148,7 @@
 		p.open[e.Model] = b
 		p.out.models = append(p.out.models, e.Model)
 	}
+	p.ids.add(number, e.ID)
 	data := marshal(e)
 	if p.count[e.Model] == chunkItems || (b.Len() > 0 && b.Len()+len(data) > chunkBytes) {
 		p.flush(e.Model)
--- /dev/null
+++ b/io/guavacalls/store.go
@@ -0,0 +1,143 @@
+// Package guavacalls measures the calls of the platform's store.
+package guavacalls
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"guavaridge/io/guavaplatform"
+)
+
+// Store is what is measured.
+type Store interface {
+	guavaplatform.Log
+	guavaplatform.Feed
+	guavaplatform.Objects
+}
+
+// Record takes in a call: its kind, its result in a word, and how long it took. Changes waits for something to happen, so
+// its time says little about the store.
+type Record func(kind, result string, took time.Duration)
+
+// measured is a Store that tells each call to a Record.
+type measured struct {
+	store  Store
+	record Record
+}
+
+// New returns a Store that passes calls on and records them.
+func New(s Store, r Record) Store { return &measured{store: s, record: r} }
+
+// result names what an error means, so that the number of results is fixed.
+func result(err error) string {
+	for _, known := range [...]struct {
+		err  error
+		name string
+	}{
+		{guavaplatform.ErrAbsent, "absent"},
+		{guavaplatform.ErrConflict, "conflict"},
+		{guavaplatform.ErrTruncated, "truncated"},
+		{guavaplatform.ErrUnknown, "unknown"},
+		{guavaplatform.ErrUnavailable, "unavailable"},
+		{context.Canceled, "cancelled"},
+		{context.DeadlineExceeded, "timeout"},
+	} {
+		if errors.Is(err, known.err) {
+			return known.name
+		}
+	}
+	if err != nil {
+		return "error"
+	}
+	return "ok"
+}
+
+func (m *measured) note(kind string, begin time.Time, err error) {
+	m.record(kind, result(err), time.Since(begin))
+}
+
+// Read implements guavaplatform.Table.
+func (m *measured) Read(ctx context.Context, key string) (guavaplatform.Row, error) {
+	begin := time.Now()
+	row, err := m.store.Read(ctx, key)
+	m.note("read", begin, err)
+	return row, err //nolint:wrapcheck // passed on
+}
+
+// Scan implements guavaplatform.Table.
+func (m *measured) Scan(ctx context.Context, prefix, after string, limit int) ([]guavaplatform.Row, error) {
+	begin := time.Now()
+	rows, err := m.store.Scan(ctx, prefix, after, limit)
+	m.note("scan", begin, err)
+	return rows, err //nolint:wrapcheck // passed on
+}
+
+// Commit implements guavaplatform.Table.
+func (m *measured) Commit(ctx context.Context, checks []guavaplatform.Check, writes []guavaplatform.Write) error {
+	begin := time.Now()
+	err := m.store.Commit(ctx, checks, writes)
+	m.note("commit", begin, err)
+	return err //nolint:wrapcheck // passed on
+}
+
+// CommitAt implements guavaplatform.Log.
+func (m *measured) CommitAt(
+	ctx context.Context, checks []guavaplatform.Check, writes []guavaplatform.Write,
+) (uint64, error) {
+	begin := time.Now()
+	revision, err := m.store.CommitAt(ctx, checks, writes)
+	m.note("commit", begin, err)
+	return revision, err //nolint:wrapcheck // passed on
+}
+
+// Snapshot implements guavaplatform.Feed.
+func (m *measured) Snapshot(ctx context.Context, table string, parts []string) ([]guavaplatform.Row, uint64, error) {
+	begin := time.Now()
+	rows, position, err := m.store.Snapshot(ctx, table, parts)
+	m.note("snapshot", begin, err)
+	return rows, position, err //nolint:wrapcheck // passed on
+}
+
+// Changes implements guavaplatform.Feed.
+func (m *measured) Changes(
+	ctx context.Context, table string, position uint64, wait time.Duration,
+) ([]guavaplatform.RowChange, uint64, error) {
+	begin := time.Now()
+	changes, position, err := m.store.Changes(ctx, table, position, wait)
+	m.note("changes", begin, err)
+	return changes, position, err //nolint:wrapcheck // passed on
+}
+
+// Put implements guavaplatform.Objects.
+func (m *measured) Put(ctx context.Context, key string, body io.Reader) error {
+	begin := time.Now()
+	err := m.store.Put(ctx, key, body)
+	m.note("put", begin, err)
+	return err //nolint:wrapcheck // passed on
+}
+
+// Get implements guavaplatform.Objects.
+func (m *measured) Get(ctx context.Context, key string) (io.ReadCloser, error) {
+	begin := time.Now()
+	body, err := m.store.Get(ctx, key)
+	m.note("get", begin, err)
+	return body, err //nolint:wrapcheck // passed on
+}
+
+// List implements guavaplatform.Objects.
+func (m *measured) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+	begin := time.Now()
+	keys, err := m.store.List(ctx, prefix, after, limit)
+	m.note("list", begin, err)
+	return keys, err //nolint:wrapcheck // passed on
+}
+
+// Delete implements guavaplatform.Objects.
+func (m *measured) Delete(ctx context.Context, key string) error {
+	begin := time.Now()
+	err := m.store.Delete(ctx, key)
+	m.note("delete", begin, err)
+	return err //nolint:wrapcheck // passed on
+}
--- /dev/null
+++ b/io/guavacalls/store_test.go
@@ -0,0 +1,51 @@
+package guavacalls_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"guavaridge/io/guavacalls"
+	"guavaridge/io/guavaplatform"
+)
+
+// failing is a store whose reads take a while and fail.
+type failing struct {
+	guavacalls.Store
+	err error
+}
+
+// Read implements guavaplatform.Table.
+func (f failing) Read(context.Context, string) (guavaplatform.Row, error) {
+	time.Sleep(30 * time.Millisecond)
+	return guavaplatform.Row{}, f.err
+}
+
+// TestCallsAreRecorded guards against calls that are missing from the metrics, and against results without bound.
+func TestCallsAreRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got []string
+		for _, err := range []error{
+			nil,
+			fmt.Errorf("read a: %w", guavaplatform.ErrUnavailable),
+			fmt.Errorf("read b: %w", guavaplatform.ErrAbsent),
+			context.DeadlineExceeded,
+			fmt.Errorf("row 17 is torn"),
+		} {
+			s := guavacalls.New(failing{err: err}, func(kind, result string, took time.Duration) {
+				got = append(got, fmt.Sprint(kind, " ", result, " ", took))
+			})
+			if _, passed := s.Read(t.Context(), "k"); passed != err { //nolint:errorlint // the same error
+				t.Errorf("got %v, want %v", passed, err)
+			}
+		}
+		want := []string{"read ok 30ms", "read unavailable 30ms", "read absent 30ms", "read timeout 30ms", "read error 30ms"}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("records (-want +got):\n%s", diff)
+		}
+	})
+}
--- /dev/null
+++ b/io/guavadispatch/clock_test.go
@@ -0,0 +1,12 @@
+package guavadispatch_test
+
+import (
+	"testing"
+
+	"guavaridge/internal/guavaclock"
+)
+
+func TestMain(m *testing.M) {
+	guavaclock.Start()
+	m.Run()
+}
--- /dev/null
+++ b/io/guavaedge/copies.go
@@ -0,0 +1,245 @@
+package guavaedge
+
+import (
+	"context"
+	"encoding/gob"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"guavaridge/core/guavamember"
+	"guavaridge/io/guavacoord"
+	"guavaridge/io/guavafallback"
+	"guavaridge/io/guavamesh"
+	"guavaridge/io/guavaview"
+)
+
+const (
+	// copyTime is the pause between questions for copies while the store does not answer.
+	copyTime = 300 * time.Millisecond
+	// copyAfter is how long the store must not have answered before another VM is asked.
+	copyAfter = 200 * time.Millisecond
+	// copySources is the number of VMs asked at a time, and of readers that a VM subscribes to.
+	copySources = 2
+	// freshTime is how long the last sign of a reader counts. With the time of a question to the store that follows it
+	// stays below the time in which a configuration has to be in force.
+	freshTime = 900 * time.Millisecond
+	// leastReaders is the least number of readers, and readerShare the number of VMs for each further one.
+	leastReaders = 3
+	readerShare  = 20
+)
+
+type (
+	// askCopy asks for a table if the receiver knows a change after the position.
+	askCopy struct {
+		Table    string
+		Position uint64
+	}
+	// giveCopy is the answer.
+	giveCopy struct{ Copy guavaview.Copy }
+	// subscribe asks a reader to tell of all changes from now on.
+	subscribe struct{}
+	// deltas tells of changes, or with empty ones that there were none.
+	deltas struct{ List []guavaview.Delta }
+)
+
+func init() { //nolint:gochecknoinits // gob wants types of interface values registered before their first use
+	gob.Register(askCopy{})
+	gob.Register(giveCopy{})
+	gob.Register(subscribe{})
+	gob.Register(deltas{})
+}
+
+// copies spreads tables of the store between VMs. A few VMs, the readers, follow the store and tell the others, which
+// keeps the number of calls to the store independent of the number of VMs. A VM that hears of no reader that the store
+// answers follows the store itself, and one that the store does not answer takes copies from any VM.
+type copies struct {
+	followers map[string]*guavaview.Follower
+	fallback  *guavafallback.Store
+
+	mu          sync.Mutex
+	links       map[*guavamesh.Link]struct{}
+	readers     map[string]bool // to whom this VM subscribes
+	subscribers map[*guavamesh.Link]struct{}
+	fresh       map[string]time.Time // last sign of a reader that the store answers, by table
+}
+
+func newCopies() *copies {
+	return &copies{
+		followers: map[string]*guavaview.Follower{}, links: map[*guavamesh.Link]struct{}{}, readers: map[string]bool{},
+		subscribers: map[*guavamesh.Link]struct{}{}, fresh: map[string]time.Time{},
+	}
+}
+
+// share makes the followers tell subscribers, and rely on readers.
+func (c *copies) share() {
+	for table, f := range c.followers {
+		f.Share(func() bool { return c.isCovered(table) }, c.publish)
+	}
+}
+
+// setVMs chooses the readers and returns those to which this VM subscribes: none if it is one of them.
+func (c *copies) setVMs(self string, list []guavacoord.VM) []string {
+	identities := make([]guavamember.Identity, 0, len(list))
+	most := 0.0
+	for _, v := range list {
+		most = max(most, v.Cores)
+	}
+	for _, v := range list {
+		if v.Cores >= most/2 {
+			identities = append(identities, v.Identity)
+		}
+	}
+	ranked := guavamember.Rank("readers", identities)
+	ranked = ranked[:min(max(leastReaders, len(list)/readerShare), len(ranked))]
+	var sources []string
+	if !slices.ContainsFunc(ranked, func(v guavamember.Identity) bool { return v.Name == self }) {
+		for _, v := range guavamember.Rank("reader/"+self, ranked)[:min(copySources, len(ranked))] {
+			sources = append(sources, v.Name)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.readers
+	c.readers = map[string]bool{}
+	for _, name := range sources {
+		c.readers[name] = true
+	}
+	for l := range c.links {
+		if l.Outgoing && c.readers[l.Peer.Name] && !before[l.Peer.Name] {
+			l.Send(subscribe{})
+		}
+	}
+	return sources
+}
+
+// isCovered reports whether a reader that the store answers tells of the table.
+func (c *copies) isCovered(table string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.readers) > 0 && time.Since(c.fresh[table]) < freshTime
+}
+
+// publish tells subscribers of changes.
+func (c *copies) publish(d guavaview.Delta) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for l := range c.subscribers {
+		l.Send(deltas{List: []guavaview.Delta{d}})
+	}
+}
+
+// beacon shows subscribers how far the tables go.
+func (c *copies) beacon(now time.Time) {
+	var list []guavaview.Delta
+	for _, f := range c.followers {
+		if d, ok := f.Beacon(now); ok {
+			list = append(list, d)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for l := range c.subscribers {
+		l.Send(deltas{List: list})
+	}
+}
+
+// receive takes in what a reader tells.
+func (c *copies) receive(l *guavamesh.Link, list []guavaview.Delta) {
+	now := time.Now()
+	for _, d := range list {
+		f := c.followers[d.Table]
+		if f == nil {
+			continue
+		}
+		if !f.Deliver(d) {
+			position, _ := f.Position()
+			l.Send(askCopy{Table: d.Table, Position: position})
+			continue
+		}
+		c.mu.Lock()
+		if c.readers[l.Peer.Name] {
+			c.fresh[d.Table] = now
+		}
+		c.mu.Unlock()
+	}
+}
+
+// Linked implements guavamesh.Handler.
+func (c *copies) Linked(l *guavamesh.Link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.links[l] = struct{}{}
+	if l.Outgoing && c.readers[l.Peer.Name] {
+		l.Send(subscribe{})
+	}
+}
+
+// Lost implements guavamesh.Handler.
+func (c *copies) Lost(l *guavamesh.Link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.links, l)
+	delete(c.subscribers, l)
+}
+
+// Receive implements guavamesh.Handler.
+func (c *copies) Receive(l *guavamesh.Link, message any) {
+	switch m := message.(type) {
+	case askCopy:
+		if f := c.followers[m.Table]; f != nil {
+			if table, ok := f.Export(m.Position); ok {
+				l.Send(giveCopy{Copy: table})
+			}
+		}
+	case giveCopy:
+		if f := c.followers[m.Copy.Table]; f != nil {
+			f.Import(m.Copy)
+		}
+	case subscribe:
+		c.mu.Lock()
+		c.subscribers[l] = struct{}{}
+		c.mu.Unlock()
+		c.beacon(time.Now())
+	case deltas:
+		c.receive(l, m.List)
+	default:
+		c.fallback.Receive(l, message)
+	}
+}
+
+// run asks for copies of tables that the store does not tell about, until ctx ends.
+func (c *copies) run(ctx context.Context) {
+	tick := time.NewTicker(copyTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		c.beacon(time.Now())
+		for table, f := range c.followers {
+			if f.Failing(time.Now()) < copyAfter {
+				continue
+			}
+			position, _ := f.Position()
+			for _, l := range c.sources(copySources) {
+				l.Send(askCopy{Table: table, Position: position})
+			}
+		}
+	}
+}
+
+// sources picks up to n links at random.
+func (c *copies) sources(n int) []*guavamesh.Link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]*guavamesh.Link, 0, len(c.links))
+	for l := range c.links {
+		list = append(list, l)
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
--- /dev/null
+++ b/io/guavaedge/metrics.go
@@ -0,0 +1,137 @@
+package guavaedge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"guavaridge/io/guavacalls"
+	"guavaridge/io/guavagate"
+	"guavaridge/io/guavametrics"
+)
+
+// Upper ends of the ranges of times in seconds: around the targets of online requests, from a millisecond to the longest
+// time of a request.
+var timeBounds = []float64{0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 5}
+
+// metricsTime bounds the reading of a question for metrics.
+const metricsTime = 2 * time.Second
+
+// timings registers the histograms of requests.
+func timings(m *guavametrics.Metrics) (guavagate.Timings, error) {
+	var t guavagate.Timings
+	for _, h := range [...]struct {
+		take       *func(float64)
+		name, help string
+	}{
+		{&t.Wait, "guavaridge_place_wait", "time until a request got a place on a server or was refused"},
+		{&t.First, "guavaridge_first_byte", "time from the arrival of a request to the first byte of its answer"},
+		{&t.Whole, "guavaridge_answer", "time from the arrival of a request to the end of its answer"},
+	} {
+		var err error
+		if *h.take, err = m.Histogram(h.name, h.help, "s", timeBounds...); err != nil {
+			return guavagate.Timings{}, fmt.Errorf("metrics: %w", err)
+		}
+	}
+	return t, nil
+}
+
+// storeCalls registers the histogram of calls of the store.
+func storeCalls(m *guavametrics.Metrics) (guavacalls.Record, error) {
+	record, err := m.LabelledHistogram("guavaridge_store_call", "time of a call of the store, by kind and result", "s",
+		[]string{"kind", "result"}, timeBounds...)
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	return func(kind, result string, took time.Duration) { record(took.Seconds(), kind, result) }, nil
+}
+
+// CountDropped publishes the number of log lines that were dropped.
+func (e *Edge) CountDropped(read func() uint64) error {
+	if err := e.metrics.Counter("guavaridge_log_lines_dropped", "log lines over the budget of the settings",
+		func() int64 { return int64(read()) }); err != nil { //nolint:gosec // small
+		return fmt.Errorf("metrics: %w", err)
+	}
+	return nil
+}
+
+// register publishes the counters of the parts. Accounts and identifiers are left out, so that the number of series is
+// fixed.
+func (e *Edge) register(m *guavametrics.Metrics) error {
+	g, l := &e.gate.Counters, &e.batch.Counters
+	counters := []struct {
+		name, help string
+		value      *atomic.Uint64
+	}{
+		{"guavaridge_requests", "requests of callers", &g.Requests},
+		{"guavaridge_answered", "requests answered by a server", &g.Answered},
+		{"guavaridge_refused", "requests refused that have not run", &g.Refused},
+		{"guavaridge_tokens", "requests within the rate of their account", &g.Tokens},
+		{"guavaridge_limited", "requests beyond the rate of their account", &g.Limited},
+		{"guavaridge_failed", "requests that failed after they may have run", &g.Failed},
+		{"guavaridge_vanished", "callers that left", &g.Vanished},
+		{"guavaridge_repeated", "requests sent to another server", &g.Repeated},
+		{"guavaridge_resumed", "streams that went on at another server", &g.Resumed},
+		{"guavaridge_connections_rejected", "connections over the limit", &g.Rejected},
+		{"guavaridge_jobs", "jobs that this VM began to run", &l.Jobs},
+		{"guavaridge_jobs_adopted", "jobs taken over from other VMs", &l.Adopted},
+		{"guavaridge_items_succeeded", "items listed with their text", &l.Succeeded},
+		{"guavaridge_items_dead", "items given up", &l.Dead},
+		{"guavaridge_items_yielded", "runs that gave way to online requests", &l.Yields},
+		{"guavaridge_items_resumed", "runs that broke off and went on", &l.Resumed},
+	}
+	for _, c := range counters {
+		if err := m.Counter(c.name, c.help, func() int64 { return int64(c.value.Load()) }); err != nil { //nolint:gosec // small
+			return fmt.Errorf("metrics: %w", err)
+		}
+	}
+	gauges := []struct {
+		name, help string
+		read       func() int64
+	}{
+		{"guavaridge_running", "requests being served", func() int64 { return int64(e.gate.Running()) }},
+		{"guavaridge_jobs_running", "jobs that this VM runs", func() int64 { return int64(e.batch.Running()) }},
+		{"guavaridge_config_version", "configuration in force", func() int64 {
+			if c := e.registry.config.Load(); c != nil {
+				return int64(c.Version) //nolint:gosec // versions are small
+			}
+			return 0
+		}},
+		{"guavaridge_store_silence_ms", "time for which the store has not answered", func() int64 {
+			return e.config.Failing(time.Now()).Milliseconds()
+		}},
+		{"guavaridge_server_list_silence_ms", "time for which nothing was heard of changes to the list of servers", func() int64 {
+			return e.servers.Failing(time.Now()).Milliseconds()
+		}},
+		{"guavaridge_vm_list_silence_ms", "time for which nothing was heard of changes to the list of VMs", func() int64 {
+			return e.vms.Failing(time.Now()).Milliseconds()
+		}},
+		{"guavaridge_servers", "backend servers known", func() int64 { return int64(len(*e.registry.servers.Load())) }},
+		{"guavaridge_vms", "VMs known", func() int64 { return int64(len(e.registry.list())) }},
+		{"guavaridge_goroutines", "goroutines of the process", func() int64 { return int64(runtime.NumGoroutine()) }},
+	}
+	for _, g := range gauges {
+		if err := m.Gauge(g.name, g.help, g.read); err != nil {
+			return fmt.Errorf("metrics: %w", err)
+		}
+	}
+	return nil
+}
+
+// serveMetrics serves /metrics until ctx ends.
+func (e *Edge) serveMetrics(ctx context.Context, ln net.Listener) error {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", e.metrics.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: metricsTime}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // the process ends in any case
+	defer stop()
+	if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve metrics: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/guavafallback/store.go
@@ -0,0 +1,300 @@
+// Package guavafallback makes calls to the platform's store through other VMs while the store does not serve this one.
+package guavafallback
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"guavaridge/io/guavamesh"
+	"guavaridge/io/guavaplatform"
+)
+
+const (
+	// callTime bounds a call through another VM. It is longer than a call to the store itself.
+	callTime = 1400 * time.Millisecond
+	// directTime bounds a direct call while there are other VMs to turn to. It is many times a usual call.
+	directTime = 400 * time.Millisecond
+	// badTime is how long after a failed direct call other VMs are asked first.
+	badTime = time.Second
+	// sources is the number of VMs that are tried for a call.
+	sources = 3
+	// concurrent bounds the calls that this VM makes for others at a time.
+	concurrent = 32
+)
+
+// Store is a store that is reached through other VMs where the direct way fails.
+type Store struct {
+	guavaplatform.Log
+	guavaplatform.Objects
+	lost    func() bool
+	links   func(n int) []*guavamesh.Link
+	logger  hclog.Logger
+	serving chan struct{}
+
+	mu      sync.Mutex
+	bad     time.Time            // until when direct calls count as failing
+	silent  map[string]time.Time // until when VMs are not asked, by name
+	number  uint64
+	waiting map[uint64]chan reply
+}
+
+// New returns a store that calls table and objects directly unless lost says that the store does not answer. Links returns
+// up to n links to other VMs, in random order.
+func New(
+	table guavaplatform.Log, objects guavaplatform.Objects, lost func() bool,
+	links func(n int) []*guavamesh.Link, logger hclog.Logger,
+) *Store {
+	return &Store{
+		Log: table, Objects: objects, lost: lost, links: links, logger: logger,
+		serving: make(chan struct{}, concurrent), waiting: map[uint64]chan reply{}, silent: map[string]time.Time{},
+	}
+}
+
+// failing reports whether direct calls are expected to fail.
+func (s *Store) failing() bool {
+	s.mu.Lock()
+	bad := time.Now().Before(s.bad)
+	s.mu.Unlock()
+	return bad || s.lost()
+}
+
+// direct bounds a direct call, and note takes in how it went.
+func (s *Store) direct(ctx context.Context) (context.Context, context.CancelFunc) {
+	if len(s.links(1)) == 0 {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, directTime)
+}
+
+func (s *Store) note(err error) {
+	if errors.Is(err, guavaplatform.ErrUnavailable) || errors.Is(err, guavaplatform.ErrUnknown) {
+		s.mu.Lock()
+		s.bad = time.Now().Add(badTime)
+		s.mu.Unlock()
+	}
+}
+
+// CommitAt implements guavaplatform.Log. A commit through another VM may have been done before the answer was lost, which
+// the checks of a repeated one show.
+func (s *Store) CommitAt(
+	ctx context.Context, checks []guavaplatform.Check, writes []guavaplatform.Write,
+) (uint64, error) {
+	if !s.failing() {
+		direct, stop := s.direct(ctx)
+		revision, err := s.Log.CommitAt(direct, checks, writes)
+		stop()
+		s.note(err)
+		if !errors.Is(err, guavaplatform.ErrUnavailable) {
+			return revision, err //nolint:wrapcheck // as the store says it
+		}
+	}
+	r, err := s.ask(ctx, request{Operation: opCommit, Checks: checks, Writes: writes})
+	if err == nil || errors.Is(err, guavaplatform.ErrConflict) || errors.Is(err, guavaplatform.ErrUnknown) {
+		return r.Revision, err
+	}
+	return s.Log.CommitAt(ctx, checks, writes) //nolint:wrapcheck // as the store says it
+}
+
+// Commit implements guavaplatform.Table.
+func (s *Store) Commit(ctx context.Context, checks []guavaplatform.Check, writes []guavaplatform.Write) error {
+	_, err := s.CommitAt(ctx, checks, writes)
+	return err
+}
+
+// Read implements guavaplatform.Table.
+func (s *Store) Read(ctx context.Context, key string) (guavaplatform.Row, error) {
+	if !s.failing() {
+		direct, stop := s.direct(ctx)
+		row, err := s.Log.Read(direct, key)
+		stop()
+		s.note(err)
+		if err == nil || errors.Is(err, guavaplatform.ErrAbsent) {
+			return row, err //nolint:wrapcheck // as the store says it
+		}
+	}
+	r, err := s.ask(ctx, request{Operation: opRead, Key: key})
+	if err != nil || len(r.Rows) != 1 {
+		return guavaplatform.Row{}, err
+	}
+	return r.Rows[0], nil
+}
+
+// Scan implements guavaplatform.Table.
+func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]guavaplatform.Row, error) {
+	if !s.failing() {
+		direct, stop := s.direct(ctx)
+		rows, err := s.Log.Scan(direct, prefix, after, limit)
+		stop()
+		s.note(err)
+		if err == nil {
+			return rows, nil
+		}
+	}
+	r, err := s.ask(ctx, request{Operation: opScan, Key: prefix, After: after, Limit: limit})
+	return r.Rows, err
+}
+
+// Put implements guavaplatform.Objects.
+func (s *Store) Put(ctx context.Context, key string, body io.Reader) error {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return fmt.Errorf("put %s: read body: %w", key, err)
+	}
+	if !s.failing() {
+		direct, stop := s.direct(ctx)
+		err := s.Objects.Put(direct, key, bytes.NewReader(data))
+		stop()
+		s.note(err)
+		if err == nil {
+			return nil
+		}
+	}
+	_, err = s.ask(ctx, request{Operation: opPut, Key: key, Body: data})
+	return err
+}
+
+// Get implements guavaplatform.Objects.
+func (s *Store) Get(ctx context.Context, key string) (io.ReadCloser, error) {
+	if !s.failing() {
+		direct, stop := s.direct(ctx)
+		body, err := s.Objects.Get(direct, key)
+		stop()
+		s.note(err)
+		if err == nil || errors.Is(err, guavaplatform.ErrAbsent) {
+			return body, err //nolint:wrapcheck // as the store says it
+		}
+	}
+	r, err := s.ask(ctx, request{Operation: opGet, Key: key})
+	if err != nil {
+		return nil, err
+	}
+	return io.NopCloser(bytes.NewReader(r.Body)), nil
+}
+
+// ask makes a call through another VM. ErrUnavailable means that none could make it.
+func (s *Store) ask(ctx context.Context, q request) (reply, error) {
+	last := fmt.Errorf("no other VM to call the store through: %w", guavaplatform.ErrUnavailable)
+	for _, l := range s.links(sources) {
+		s.mu.Lock()
+		silent := time.Now().Before(s.silent[l.Peer.Name])
+		s.mu.Unlock()
+		if silent {
+			continue
+		}
+		r, err := s.askOne(ctx, l, q)
+		if err == nil || !errors.Is(err, guavaplatform.ErrUnavailable) {
+			s.logger.Info("store called through another VM", "peer", l.Peer.Name, "operation", q.Operation, "error", err)
+			return r, err
+		}
+		last = err
+	}
+	return reply{}, last
+}
+
+func (s *Store) askOne(ctx context.Context, l *guavamesh.Link, q request) (reply, error) {
+	answer := make(chan reply, 1)
+	s.mu.Lock()
+	s.number++
+	q.Number = s.number
+	s.waiting[q.Number] = answer
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.waiting, q.Number)
+		s.mu.Unlock()
+	}()
+	l.Send(q)
+	timer := time.NewTimer(callTime)
+	defer timer.Stop()
+	select {
+	case r := <-answer:
+		if r.Outcome == fine {
+			return r, nil
+		}
+		return r, fmt.Errorf("%s through %s: %w", q.Operation, l.Peer.Name, outcomes[r.Outcome])
+	case <-timer.C:
+		s.mu.Lock()
+		s.silent[l.Peer.Name] = time.Now().Add(badTime)
+		s.mu.Unlock()
+	case <-ctx.Done():
+	}
+	if q.Operation == opCommit {
+		return reply{}, fmt.Errorf("%s through %s: %w", q.Operation, l.Peer.Name, guavaplatform.ErrUnknown)
+	}
+	return reply{}, fmt.Errorf("%s through %s: %w", q.Operation, l.Peer.Name, guavaplatform.ErrUnavailable)
+}
+
+// Receive takes in a message of another VM, and returns false if it is of another kind.
+func (s *Store) Receive(l *guavamesh.Link, message any) bool {
+	switch m := message.(type) {
+	case request:
+		select {
+		case s.serving <- struct{}{}:
+			go func() {
+				defer func() { <-s.serving }()
+				l.Send(s.serve(m))
+			}()
+		default:
+			l.Send(reply{Number: m.Number, Outcome: unavailable})
+		}
+	case reply:
+		s.mu.Lock()
+		answer := s.waiting[m.Number]
+		delete(s.waiting, m.Number)
+		s.mu.Unlock()
+		if answer != nil {
+			answer <- m
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// serve makes a call for another VM. It is made directly only, so that calls do not go in circles.
+func (s *Store) serve(q request) reply {
+	r := reply{Number: q.Number}
+	if s.failing() {
+		r.Outcome = unavailable
+		return r
+	}
+	// The VM that asks waits somewhat longer.
+	ctx, stop := context.WithTimeout(context.Background(), directTime)
+	defer stop()
+	var err error
+	switch q.Operation {
+	case opCommit:
+		r.Revision, err = s.Log.CommitAt(ctx, q.Checks, q.Writes)
+	case opRead:
+		var row guavaplatform.Row
+		row, err = s.Log.Read(ctx, q.Key)
+		r.Rows = []guavaplatform.Row{row}
+	case opScan:
+		r.Rows, err = s.Log.Scan(ctx, q.Key, q.After, q.Limit)
+	case opPut:
+		err = s.Objects.Put(ctx, q.Key, bytes.NewReader(q.Body))
+	case opGet:
+		r.Body, err = s.get(ctx, q.Key)
+	default:
+		err = fmt.Errorf("operation %q: %w", q.Operation, guavaplatform.ErrUnavailable)
+	}
+	s.note(err)
+	r.Outcome = outcomeOf(err)
+	return r
+}
+
+func (s *Store) get(ctx context.Context, key string) ([]byte, error) {
+	body, err := s.Objects.Get(ctx, key)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // only its kind is passed on
+	}
+	defer body.Close()
+	return io.ReadAll(body) //nolint:wrapcheck // likewise
+}
--- a/io/guavafront/body.go
+++ b/io/guavafront/body.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavaridge/core/guavaretry"
+	"guavaridge/io/guavalisten"
 )
 
 // body reads the request's body.
@@ -43,12 +44,12 @@
 // endReading makes the end of the request, such as a withdrawn key, end the reading of its body too. The result
 // ends that.
 func (c *call) endReading() (stop func() bool) {
-	w, ok := c.ctx.Conn().(*connection)
+	w, ok := c.ctx.Conn().(*guavalisten.Connection)
 	if !ok {
 		return func() bool { return true }
 	}
 	return context.AfterFunc(c.run, func() {
-		_ = w.SetReadDeadline(past) // fails only on a closed connection, whose read has ended
+		_ = w.SetReadDeadline(guavalisten.Past) // fails only on a closed connection, whose read has ended
 	})
 }
 
@@ -72,8 +73,8 @@
 // hangUp closes the connection after the answer, although the caller may not have sent everything.
 func hangUp(ctx *fasthttp.RequestCtx) {
 	ctx.SetConnectionClose()
-	if w, ok := ctx.Conn().(*connection); ok {
-		w.linger()
+	if w, ok := ctx.Conn().(*guavalisten.Connection); ok {
+		w.Linger()
 	}
 }
 
--- a/io/guavafront/front.go
+++ b/io/guavafront/front.go
@@ -18,6 +18,7 @@
 	"guavaridge/core/guavaconfig"
 	"guavaridge/io/guavacertificate"
 	"guavaridge/io/guavadispatch"
+	"guavaridge/io/guavalisten"
 )
 
 // Handler serves a path for an authenticated client account. The body may be a stream: it is read from
@@ -108,6 +109,11 @@
 // WithCounters sets where the front counts.
 func WithCounters(c *Counters) Option { return func(l *limits) { l.counters = c } }
 
+// tooMany is sent on connections over the limit.
+const tooMany = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n" +
+	"Connection: close\r\nContent-Length: 117\r\n\r\n" +
+	`{"error":{"message":"too many connections","type":"server_error","param":null,"code":"overloaded","ran":"none"}}    ` + "\n"
+
 // Front serves callers.
 type Front struct {
 	Dependencies
@@ -120,7 +126,7 @@
 	draining atomic.Bool
 
 	mu        sync.Mutex
-	listeners []*listener
+	listeners []*guavalisten.Listener
 }
 
 // New returns a front that serves nothing yet.
@@ -169,7 +175,9 @@
 
 // Serve accepts callers on ln until Drain or Close. It may be called for several listeners.
 func (f *Front) Serve(ln net.Listener) error {
-	l := newListener(ln, f)
+	l := guavalisten.New(ln, guavalisten.Options{
+		Limit: f.connections, WriteTime: f.writeTime, TLS: f.tls, TooMany: tooMany, Rejected: &f.counters.Rejected,
+	})
 	f.mu.Lock()
 	if f.draining.Load() {
 		f.mu.Unlock()
@@ -266,7 +274,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, l := range f.listeners {
-		l.closeConns()
+		l.CloseConnections()
 	}
 }
 
@@ -274,9 +282,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, l := range f.listeners {
-		l.mu.Lock()
-		n += len(l.conns)
-		l.mu.Unlock()
+		n += l.Len()
 	}
 	return n
 }
--- a/io/guavafront/handle.go
+++ b/io/guavafront/handle.go
@@ -20,6 +20,8 @@
 	"guavaridge/core/guavaretry"
 	"guavaridge/io/guavaback"
 	"guavaridge/io/guavadispatch"
+	"guavaridge/io/guavalisten"
+	"guavaridge/io/guavatransport"
 )
 
 const (
@@ -289,20 +291,20 @@
 func (c *call) watch(end context.CancelCauseFunc) {
 	finish := c.finish
 	c.startWatch = func() {}
-	w, ok := c.ctx.Conn().(*connection)
+	w, ok := c.ctx.Conn().(*guavalisten.Connection)
 	if !ok {
 		return
 	}
 	watched := false
 	c.finish = func() {
 		if watched {
-			w.unwatch()
+			w.Unwatch()
 		}
 		finish()
 	}
 	c.startWatch = func() {
 		watched = true
-		w.watch(func() {
+		w.Watch(func() {
 			c.vanish()
 			end(errVanished)
 		})
@@ -400,19 +402,24 @@
 	}, nil
 }
 
-// hops are headers that concern one connection, or that the front itself deals with.
-var hops = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Connection": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Host": true, "Content-Length": true, "Expect": true,
-	guavaback.HeaderID: true, guavaback.HeaderDeadline: true, guavaback.HeaderResume: true, guavaback.HeaderLoad: true,
-}
+// kept are headers that concern one connection, or that the front itself deals with.
+var kept = func() map[string]bool {
+	m := map[string]bool{
+		"Proxy-Authenticate": true, "Transfer-Encoding": true, "Host": true, "Content-Length": true,
+		guavaback.HeaderID: true, guavaback.HeaderDeadline: true, guavaback.HeaderResume: true, guavaback.HeaderLoad: true,
+	}
+	for _, name := range guavatransport.HopHeaders() {
+		m[name] = true
+	}
+	return m
+}()
 
 // header returns the headers to pass on. Values of a header that occurs more than once are joined.
 func (c *call) header() map[string]string {
 	m := make(map[string]string, 8)
 	h := &c.ctx.Request.Header
 	for k, v := range h.All() {
-		if hops[string(k)] {
+		if kept[string(k)] {
 			continue
 		}
 		name := string(k)
--- a/io/guavaleases/runner.go
+++ b/io/guavaleases/runner.go
@@ -92,7 +92,7 @@
 func (r *Runner) Run(ctx context.Context) error {
 	for {
 		next := r.round(ctx)
-		timer := time.NewTimer(time.Until(next))
+		timer := time.NewTimer(max(time.Until(next), time.Millisecond))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/io/guavafront/connection.go
+++ b/io/guavalisten/listener.go
@@ -1,4 +1,5 @@
-package guavafront
+// Package guavalisten accepts callers' connections, bounds their number, and tells when a caller leaves.
+package guavalisten
 
 import (
 	"crypto/tls"
@@ -9,68 +10,86 @@
 	"time"
 )
 
-// past is a deadline that wakes a blocked read.
-var past = time.Unix(1, 0)
+// Past is a deadline that wakes a blocked read.
+var Past = time.Unix(1, 0)
+
+// Options set up a Listener.
+type Options struct {
+	// Limit is the largest number of open connections.
+	Limit int
+	// WriteTime is how long a caller may leave sent bytes unread.
+	WriteTime time.Duration
+	// TLS, if set, is spoken on each connection.
+	TLS *tls.Config
+	// TooMany is sent as it is on connections over the limit, which are then closed.
+	TooMany string
+	// Rejected counts connections over the limit.
+	Rejected *atomic.Uint64
+}
 
-// listener bounds the number of connections and wraps each in a connection.
-type listener struct {
+// Listener bounds the number of connections and wraps each in a Connection.
+type Listener struct {
 	net.Listener
-	front *Front
+	options Options
+	once    sync.Once
 
-	once  sync.Once
 	mu    sync.Mutex
-	conns map[*connection]struct{}
+	conns map[*Connection]struct{}
 }
 
-func newListener(ln net.Listener, f *Front) *listener {
-	return &listener{Listener: ln, front: f, conns: map[*connection]struct{}{}}
+// New returns a listener that accepts from ln.
+func New(ln net.Listener, o Options) *Listener {
+	return &Listener{Listener: ln, options: o, conns: map[*Connection]struct{}{}}
 }
 
-// tooMany is sent on connections over the limit.
-const tooMany = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n" +
-	"Connection: close\r\nContent-Length: 117\r\n\r\n" +
-	`{"error":{"message":"too many connections","type":"server_error","param":null,"code":"overloaded","ran":"none"}}    ` + "\n"
-
-// rejectTime bounds the sending of tooMany, which fits into any socket buffer.
+// rejectTime bounds the sending of Options.TooMany, which fits into any socket buffer.
 const rejectTime = 50 * time.Millisecond
 
 // Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		c := &connection{Conn: raw, listener: l, done: make(chan struct{}, 1), writeTime: l.front.writeTime}
+		c := &Connection{Conn: raw, listener: l, done: make(chan struct{}, 1), writeTime: l.options.WriteTime}
 		l.mu.Lock()
-		full := len(l.conns) >= l.front.connections
+		full := len(l.conns) >= l.options.Limit
 		if !full {
 			l.conns[c] = struct{}{}
 		}
 		l.mu.Unlock()
 		if !full {
-			if l.front.tls != nil {
-				c.Conn = tls.Server(raw, l.front.tls)
+			if l.options.TLS != nil {
+				c.Conn = tls.Server(raw, l.options.TLS)
 			}
 			return c, nil
 		}
-		l.front.counters.Rejected.Add(1)
-		if l.front.tls == nil && raw.SetWriteDeadline(time.Now().Add(rejectTime)) == nil {
-			_, _ = raw.Write([]byte(tooMany)) // the connection is closed either way
+		l.options.Rejected.Add(1)
+		if l.options.TLS == nil && raw.SetWriteDeadline(time.Now().Add(rejectTime)) == nil {
+			_, _ = raw.Write([]byte(l.options.TooMany)) // the connection is closed either way
 		}
 		raw.Close()
 	}
 }
 
 // Close implements net.Listener. Both the front and its server close it.
-func (l *listener) Close() (err error) {
+func (l *Listener) Close() (err error) {
 	l.once.Do(func() { err = l.Listener.Close() })
 	return err
 }
 
-func (l *listener) closeConns() {
+// Len returns the number of open connections.
+func (l *Listener) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// CloseConnections closes all connections at once.
+func (l *Listener) CloseConnections() {
 	l.mu.Lock()
-	conns := make([]*connection, 0, len(l.conns))
+	conns := make([]*Connection, 0, len(l.conns))
 	for c := range l.conns {
 		conns = append(conns, c)
 	}
@@ -80,10 +99,10 @@
 	}
 }
 
-// connection is a caller's connection that can be watched for its end while its request runs.
-type connection struct {
+// Connection is a caller's connection that can be watched for its end while its request runs.
+type Connection struct {
 	net.Conn
-	listener  *listener
+	listener  *Listener
 	writeTime time.Duration
 	armed     time.Time // when the write deadline was last set
 	lingers   atomic.Bool
@@ -103,8 +122,8 @@
 // and save the cost of the watch.
 const watchAfter = 20 * time.Millisecond
 
-// watch calls gone when the caller closes the connection before unwatch. Until then, nothing else may read.
-func (c *connection) watch(gone func()) {
+// Watch calls gone when the caller closes the connection before Unwatch. Until then, nothing else may read.
+func (c *Connection) Watch(gone func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.turn++
@@ -112,8 +131,8 @@
 	c.timer = time.AfterFunc(watchAfter, func() { c.begin(turn, gone) })
 }
 
-// begin reads ahead, unless unwatch came first.
-func (c *connection) begin(turn uint64, gone func()) {
+// begin reads ahead, unless Unwatch came first.
+func (c *Connection) begin(turn uint64, gone func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if turn != c.turn || c.held > 0 || c.err != nil {
@@ -139,8 +158,8 @@
 	}()
 }
 
-// unwatch ends a watch and waits for it.
-func (c *connection) unwatch() {
+// Unwatch ends a watch and waits for it.
+func (c *Connection) Unwatch() {
 	c.mu.Lock()
 	c.turn++
 	if c.timer != nil {
@@ -152,7 +171,7 @@
 	}
 	c.stopping = true
 	c.mu.Unlock()
-	_ = c.SetReadDeadline(past) // fails only on a closed connection, whose read has ended
+	_ = c.SetReadDeadline(Past) // fails only on a closed connection, whose read has ended
 	<-c.done
 	c.mu.Lock()
 	c.watching = false
@@ -161,7 +180,7 @@
 }
 
 // Read implements net.Conn.
-func (c *connection) Read(p []byte) (int, error) {
+func (c *Connection) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.held > 0 && len(p) > 0 {
 		p[0], c.held = c.early[0], 0
@@ -179,7 +198,7 @@
 // Write implements net.Conn. The deadline moves on with the writes, so that a long stream may take its time but
 // a caller that reads nothing is let go. It is moved only now and then, which saves a tenth of a write's time, so
 // a caller has at least 7/8 of writeTime.
-func (c *connection) Write(p []byte) (int, error) {
+func (c *Connection) Write(p []byte) (int, error) {
 	if now := time.Now(); now.Sub(c.armed) > c.writeTime/8 {
 		if err := c.SetWriteDeadline(now.Add(c.writeTime)); err != nil {
 			return 0, err
@@ -196,18 +215,18 @@
 	lingerSize = 4 << 20
 )
 
-// linger makes Close take in what the caller still sends.
-func (c *connection) linger() { c.lingers.Store(true) }
+// Linger makes Close take in what the caller still sends.
+func (c *Connection) Linger() { c.lingers.Store(true) }
 
 // Close implements net.Conn.
-func (c *connection) Close() error {
+func (c *Connection) Close() error {
 	if c.lingers.Swap(false) && c.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
 		_, _ = io.CopyN(io.Discard, c.Conn, lingerSize) // the connection is closed in any case
 	}
 	return c.closeNow()
 }
 
-func (c *connection) closeNow() error {
+func (c *Connection) closeNow() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
--- /dev/null
+++ b/io/guavalog/log_test.go
@@ -0,0 +1,105 @@
+package guavalog_test
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"guavaridge/io/guavagate"
+	"guavaridge/io/guavalog"
+)
+
+// blocked is an output that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	mu      sync.Mutex
+	lines   bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+// TestBlockedOutput guards against requests that wait for a log line to be written, and against lines that vanish without a
+// word.
+func TestBlockedOutput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blocked{release: make(chan struct{})}
+		w := guavalog.New(out, 10_000, nil)
+		start := time.Now()
+		for i := range 2000 {
+			fmt.Fprintf(w, "line %d\n", i)
+		}
+		if d := time.Since(start); d > 0 {
+			t.Errorf("logging to a blocked output took %v", d)
+		}
+		if w.Dropped() == 0 {
+			t.Error("no line was dropped, so they are kept without a bound")
+		}
+		close(out.release)
+		synctest.Wait()
+		fmt.Fprintln(w, "after")
+		w.Close()
+		synctest.Wait()
+		if !bytes.Contains(out.lines.Bytes(), []byte("log lines dropped")) {
+			t.Error("the output does not say that lines were dropped")
+		}
+	})
+}
+
+// TestBudget guards against logs that grow with the load.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blocked{release: make(chan struct{})}
+		close(out.release)
+		w := guavalog.New(out, 20, nil)
+		for range 3 {
+			for range 50 {
+				fmt.Fprintln(w, "line")
+			}
+			time.Sleep(time.Second)
+		}
+		w.Close()
+		synctest.Wait()
+		if n := bytes.Count(out.lines.Bytes(), []byte("line\n")); n != 60 {
+			t.Errorf("%d lines in 3 s, the budget is 20 a second", n)
+		}
+	})
+}
+
+// TestRoutine guards against lines about requests that went well which take the place of those that say what went wrong.
+func TestRoutine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blocked{release: make(chan struct{})}
+		close(out.release)
+		w := guavalog.New(out, 20, guavagate.IsRoutine)
+		for range 100 {
+			fmt.Fprintln(w, `{"@level":"info","@message":"answered","status":200}`)
+		}
+		for range 4 {
+			fmt.Fprintln(w, `{"@level":"info","@message":"refused","status":503}`)
+			fmt.Fprintln(w, `{"@level":"info","@message":"answered","status":500}`)
+		}
+		time.Sleep(time.Second)
+		fmt.Fprintln(w, `{"@level":"info","@message":"answered","status":200}`)
+		w.Close()
+		synctest.Wait()
+		lines := out.lines.Bytes()
+		if n := bytes.Count(lines, []byte(`"status":50`)); n != 8 {
+			t.Errorf("%d of 8 lines about what went wrong were written", n)
+		}
+		if n := bytes.Count(lines, []byte(`"status":200`)); n != 11 {
+			t.Errorf("%d lines about answers, want half of the budget and one of the next second", n)
+		}
+		if want := []byte(`"log lines dropped","count":90,"routine":90`); !bytes.Contains(lines, want) {
+			t.Errorf("no word about what was left out in\n%s", lines)
+		}
+	})
+}
--- a/io/guavametrics/metrics.go
+++ b/io/guavametrics/metrics.go
@@ -7,7 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
 	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
@@ -23,6 +25,9 @@
 // New returns metrics with a registry of their own, so that several VMs can run in one process.
 func New() (*Metrics, error) {
 	registry := prometheus.NewRegistry()
+	if err := registry.Register(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})); err != nil {
+		return nil, errors.Newf("register process metrics: %w", err)
+	}
 	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
 	if err != nil {
 		return nil, errors.Newf("create exporter: %w", err)
@@ -61,6 +66,36 @@
 	return nil
 }
 
+// Histogram publishes how values are spread, and returns the function that takes them in. Bounds are the upper ends of its
+// ranges.
+func (m *Metrics) Histogram(name, help, unit string, bounds ...float64) (func(v float64), error) {
+	h, err := m.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit(unit),
+		metric.WithExplicitBucketBoundaries(bounds...))
+	if err != nil {
+		return nil, errors.Newf("register histogram %s: %w", name, err)
+	}
+	return func(v float64) { h.Record(context.Background(), v) }, nil
+}
+
+// LabelledHistogram publishes how values are spread for each set of values of the labels, and returns the function that takes
+// them in. The values of labels come in the order of the labels; their number must be bounded.
+func (m *Metrics) LabelledHistogram(
+	name, help, unit string, labels []string, bounds ...float64,
+) (func(v float64, values ...string), error) {
+	h, err := m.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit(unit),
+		metric.WithExplicitBucketBoundaries(bounds...))
+	if err != nil {
+		return nil, errors.Newf("register histogram %s: %w", name, err)
+	}
+	return func(v float64, values ...string) {
+		set := make([]attribute.KeyValue, 0, len(labels))
+		for i, l := range labels {
+			set = append(set, attribute.String(l, values[i]))
+		}
+		h.Record(context.Background(), v, metric.WithAttributes(set...))
+	}, nil
+}
+
 // Handler returns the Prometheus endpoint.
 func (m *Metrics) Handler() http.Handler { return m.handler }
 
--- a/io/guavametrics/metrics_test.go
+++ b/io/guavametrics/metrics_test.go
@@ -22,10 +22,15 @@
 	if err := m.Gauge("running", "Running requests.", func() int64 { return value }); err != nil {
 		t.Fatal(err)
 	}
+	record, err := m.LabelledHistogram("call", "Calls.", "s", []string{"kind", "result"}, 0.1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	record(0.5, "read", "ok")
 	value = 7
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
-	for _, want := range []string{"requests_total 7", "running 7"} {
+	for _, want := range []string{"requests_total 7", "running 7", `call_seconds_bucket{kind="read",result="ok",le="1"} 1`, "process_open_fds "} {
 		if !strings.Contains(w.Body.String(), want) {
 			t.Errorf("endpoint lacks %q:\n%s", want, w.Body)
 		}
--- a/io/guavanetwork/conn.go
+++ b/io/guavanetwork/conn.go
@@ -17,7 +17,7 @@
 
 // conn is one end of a connection.
 type conn struct {
-	net.Conn
+	*stream
 	network       *Network
 	link          link
 	local, remote address
@@ -29,13 +29,13 @@
 	if c.lost.Load() {
 		return len(p), nil
 	}
-	return c.Conn.Write(p)
+	return c.stream.Write(p)
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.network.forget(c)
-	return c.Conn.Close()
+	return c.stream.Close()
 }
 
 // LocalAddr implements net.Conn.
--- a/io/guavanetwork/network.go
+++ b/io/guavanetwork/network.go
@@ -7,7 +7,6 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/grpc/test/bufconn"
 )
 
 // bufferSize is the number of bytes that a connection holds in each direction before a write blocks.
@@ -81,10 +80,8 @@
 		<-ctx.Done()
 		return nil, errors.Newf("dial %s: %w", address, ctx.Err())
 	}
-	client, server, err := n.pair(site, l)
-	if err != nil {
-		return nil, err
-	}
+	client, server := n.pair(site, l)
+	var err error
 	select {
 	case l.queue <- server:
 		return client, nil
@@ -98,33 +95,16 @@
 	return nil, err
 }
 
-func (n *Network) pair(site string, l *listener) (client, server *conn, err error) {
-	b := bufconn.Listen(bufferSize)
-	accepted := make(chan net.Conn, 1)
-	go func() {
-		c, err := b.Accept()
-		if err != nil {
-			close(accepted)
-			return
-		}
-		accepted <- c
-	}()
-	c, err := b.Dial()
-	if err != nil {
-		return nil, nil, errors.Newf("dial %s: %w", l.address, err)
-	}
-	s, ok := <-accepted
-	if !ok {
-		return nil, nil, errors.Newf("dial %s: %w", l.address, ErrRefused)
-	}
+func (n *Network) pair(site string, l *listener) (client, server *conn) {
+	near, far := newStreams()
 	path := newLink(site, l.site)
-	client = &conn{Conn: c, network: n, link: path, local: address(site), remote: address(l.address)}
-	server = &conn{Conn: s, network: n, link: path, local: address(l.address), remote: address(site)}
+	client = &conn{stream: near, network: n, link: path, local: address(site), remote: address(l.address)}
+	server = &conn{stream: far, network: n, link: path, local: address(l.address), remote: address(site)}
 	n.mu.Lock()
 	n.conns[client] = struct{}{}
 	n.conns[server] = struct{}{}
 	n.mu.Unlock()
-	return client, server, nil
+	return client, server
 }
 
 // Cut separates two sites: what is written on connections between them is lost and new connections hang.
--- a/io/guavanode/node.go
+++ b/io/guavanode/node.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -32,25 +31,11 @@
 	"guavaridge/io/guavaplatform"
 	"guavaridge/io/guavapoll"
 	"guavaridge/io/guavasettings"
+	"guavaridge/io/guavatransport"
 )
 
 // Network opens the sockets of a VM. The default is TCP; tests pass an in-memory network.
-type Network interface {
-	Listen(address string) (net.Listener, error)
-	// Dial has the signature of net.Dialer.DialContext.
-	Dial(ctx context.Context, network, address string) (net.Conn, error)
-}
-
-// tcp is the default Network.
-type tcp struct{ dialer net.Dialer }
-
-// Listen implements Network.
-func (*tcp) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
-
-// Dial implements Network.
-func (n *tcp) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return n.dialer.DialContext(ctx, network, address)
-}
+type Network = guavatransport.Network
 
 // Option changes a default of New.
 type Option func(*Node)
@@ -110,7 +95,7 @@
 // New assembles a VM's process that does nothing until Run. The platform is shared state outside this process.
 func New(s guavasettings.Settings, p guavaplatform.Platform, opts ...Option) (*Node, error) {
 	n := &Node{
-		settings: s, platform: p, network: &tcp{}, log: hclog.NewNullLogger(),
+		settings: s, platform: p, network: guavatransport.TCP(), log: hclog.NewNullLogger(),
 		holder: guavaconfig.NewHolder(), drain: make(chan struct{}),
 	}
 	for _, o := range opts {
--- a/io/guavaoperator/load.go
+++ b/io/guavaoperator/load.go
@@ -28,7 +28,7 @@
 }
 
 // CheckFile checks the declarations in a file or in the *.json files of a directory, without a VM. The error lists
-// every fault that was found.
+// every fault that was found, each with the path.
 func CheckFile(path string) error {
 	info, err := os.Stat(path)
 	if err != nil {
@@ -43,8 +43,15 @@
 			d, err = guavaconfig.Decode(data)
 		}
 	}
-	if err != nil {
-		return err
+	if err == nil {
+		err = guavaconfig.Validate(d)
+	}
+	var invalid guavaconfig.ValidationErrors
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &invalid):
+		return invalid.WithFile(path)
 	}
-	return guavaconfig.Validate(d)
+	return errors.Newf("%s: %w", path, err)
 }
--- a/io/guavaoperator/service_test.go
+++ b/io/guavaoperator/service_test.go
@@ -293,4 +293,18 @@
 	if err := guavaoperator.CheckFile(dir); !errors.As(err, &invalid) {
 		t.Errorf("the same account in two files: got %v", err)
 	}
+	// Whoever checks several files sees which one is meant.
+	for _, content := range []string{`{"hello":1,"models":5}`, `not JSON`} {
+		file := writeFile(t, t.TempDir(), "bad.json", content)
+		err := guavaoperator.CheckFile(file)
+		if err == nil {
+			t.Errorf("%s: no error", content)
+			continue
+		}
+		for line := range strings.Lines(err.Error()) {
+			if !strings.HasPrefix(line, file+": ") {
+				t.Errorf("%q does not begin with the file", line)
+			}
+		}
+	}
 }
--- a/io/guavaoperator/store.go
+++ b/io/guavaoperator/store.go
@@ -29,6 +29,8 @@
 	pollJitter = time.Second
 	// callTimeout bounds one call of the platform, so that an answer that never comes does not stop the polling.
 	callTimeout = 5 * time.Second
+	// waitingLogTime is the pause between log lines of a VM that waits for its first configuration.
+	waitingLogTime = time.Minute
 	// page is the number of changes read at once.
 	page = 100
 )
@@ -165,6 +167,7 @@
 // changes after it. When the platform does not answer, it takes the snapshot of a peer, if peer is not nil. It tries
 // until it succeeds or ctx ends.
 func (s *Store) Start(ctx context.Context, peer func(context.Context) (*guavaconfig.Snapshot, error)) error {
+	begin, next := time.Now(), time.Now()
 	for {
 		err := s.startFromPlatform(ctx)
 		if err == nil {
@@ -178,6 +181,11 @@
 			}
 			err = errors.CombineErrors(err, perr)
 		}
+		if now := time.Now(); !now.Before(next) {
+			s.logger.Warn("no configuration yet, callers are not served: neither the platform nor another VM gives one",
+				"seconds", int(now.Sub(begin).Seconds()), "error", err)
+			next = now.Add(waitingLogTime)
+		}
 		select {
 		case <-ctx.Done():
 			return errors.Newf("start configuration: %w", err)
--- a/io/guavaoperator/store_test.go
+++ b/io/guavaoperator/store_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
 
 	"guavaridge/core/guavaconfig"
 	"guavaridge/io/guavaoperator"
@@ -253,6 +254,51 @@
 	})
 }
 
+// logText collects what a logger writes.
+type logText struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// count returns how often a text was written.
+func (l *logText) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), text)
+}
+
+// TestStartIsLogged guards against a VM that waits for its platform without a word, and against one that says so each second.
+func TestStartIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := guavastandin.NewPlatform()
+		p.SetDown(true)
+		var log logText
+		s := newStore(p, "v1", guavaoperator.WithStoreLogger(hclog.New(&hclog.LoggerOptions{Output: &log})))
+		ctx, cancel := context.WithTimeout(t.Context(), 150*time.Second)
+		defer cancel()
+		began := time.Now()
+		ended := make(chan error)
+		go func() { ended <- s.Start(ctx, nil) }()
+		time.Sleep(5 * time.Second)
+		if n := log.count("no configuration yet"); n != 1 {
+			t.Errorf("%d lines after 5 s, want 1", n)
+		}
+		if err := <-ended; err == nil {
+			t.Error("started without a platform")
+		}
+		if n := log.count("no configuration yet"); n != 3 {
+			t.Errorf("%d lines in %v, want 3", n, time.Since(began))
+		}
+	})
+}
+
 // TestLatePath guards against an old version that replaces a newer one because it came late by another path.
 func TestLatePath(t *testing.T) {
 	p := guavastandin.NewPlatform()
--- a/io/guavapeer/server.go
+++ b/io/guavapeer/server.go
@@ -44,7 +44,7 @@
 		o := s.p.compose(in.from, b, true)
 		o.loans = 0 // only messages of the exchange lend
 		if in.all {
-			o.known = s.p.Table.Known(contacts)
+			o.known = s.p.Table.Known(in.from.Domain, contacts)
 		}
 		if err := stream.Send(e.encode(o)); err != nil {
 			return nil //nolint:nilerr // the sender opens a new stream
--- a/io/guavaplatform/platform.go
+++ b/io/guavaplatform/platform.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -89,3 +90,28 @@
 	Machines
 	Weights
 }
+
+// ErrTruncated means that the platform no longer knows the changes that were asked for; the table has to be listed again.
+var ErrTruncated = errors.New("history truncated")
+
+// RowChange is a row that was written, or removed.
+type RowChange struct {
+	Row
+	Removed bool
+}
+
+// Feed tells of changes to tables. The keys of rows begin with "table/part/".
+type Feed interface {
+	// Snapshot returns all rows of the parts of a table, and the position from which Changes goes on.
+	Snapshot(ctx context.Context, table string, parts []string) (rows []Row, position uint64, err error)
+	// Changes returns what changed in the table after the position, in order, and the new position. It waits for a
+	// change for at most wait. The error may be ErrTruncated.
+	Changes(ctx context.Context, table string, position uint64, wait time.Duration) ([]RowChange, uint64, error)
+}
+
+// Log is a table whose commits tell the revision of the rows that they wrote.
+type Log interface {
+	Table
+	// CommitAt is Commit; the revision is that of all rows written.
+	CommitAt(ctx context.Context, checks []Check, writes []Write) (revision uint64, err error)
+}
--- a/io/guavaback/probe_unix.go
+++ b/io/guavapool/probe_unix.go
@@ -1,6 +1,6 @@
 //go:build unix
 
-package guavaback
+package guavapool
 
 import (
 	"errors"
--- a/io/guavaplatform/client.go
+++ b/io/guavaremote/client.go
@@ -1,4 +1,5 @@
-package guavaplatform
+// Package guavaremote reaches the platform over gRPC.
+package guavaremote
 
 import (
 	"context"
@@ -13,6 +14,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 
+	"guavaridge/io/guavaplatform"
 	"guavaridge/io/guavaschema"
 )
 
@@ -24,7 +26,7 @@
 	pingTimeout  = 3 * time.Second
 )
 
-// Client is a Platform reached over gRPC.
+// Client is a guavaplatform.Platform reached over gRPC.
 type Client struct {
 	conn   *grpc.ClientConn
 	client guavaschema.PlatformClient
@@ -32,7 +34,7 @@
 	vm     string
 }
 
-var _ Platform = (*Client)(nil)
+var _ guavaplatform.Platform = (*Client)(nil)
 
 // Option sets up a Client.
 type Option func(*Client)
@@ -80,33 +82,33 @@
 }
 
 // Read implements Table.
-func (c *Client) Read(ctx context.Context, key string) (Row, error) {
+func (c *Client) Read(ctx context.Context, key string) (guavaplatform.Row, error) {
 	ctx, _ = c.begin(ctx)
 	r, err := c.client.Read(ctx, &guavaschema.ReadRequest{Key: key})
 	if err != nil {
-		return Row{}, fmt.Errorf("read %s: %w", key, readError(err))
+		return guavaplatform.Row{}, fmt.Errorf("read %s: %w", key, readError(err))
 	}
-	return Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()}, nil
+	return guavaplatform.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()}, nil
 }
 
 // Scan implements Table.
-func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]guavaplatform.Row, error) {
 	ctx, _ = c.begin(ctx)
 	reply, err := c.client.Scan(ctx, &guavaschema.ScanRequest{Prefix: prefix, After: after, Limit: int32(limit)})
 	if err != nil {
 		return nil, fmt.Errorf("scan %s: %w", prefix, readError(err))
 	}
-	rows := make([]Row, 0, len(reply.GetRows()))
+	rows := make([]guavaplatform.Row, 0, len(reply.GetRows()))
 	for _, r := range reply.GetRows() {
-		rows = append(rows, Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()})
+		rows = append(rows, guavaplatform.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()})
 	}
 	return rows, nil
 }
 
 // Commit implements Table.
-func (c *Client) Commit(ctx context.Context, checks []Check, writes []Write) error {
-	if len(writes) > MaxWrites {
-		return errors.Newf("commit of %d writes: at most %d are allowed", len(writes), MaxWrites)
+func (c *Client) Commit(ctx context.Context, checks []guavaplatform.Check, writes []guavaplatform.Write) error {
+	if len(writes) > guavaplatform.MaxWrites {
+		return errors.Newf("commit of %d writes: at most %d are allowed", len(writes), guavaplatform.MaxWrites)
 	}
 	q := &guavaschema.CommitRequest{
 		Checks: make([]*guavaschema.Check, 0, len(checks)),
@@ -199,15 +201,15 @@
 }
 
 // Machines implements Machines.
-func (c *Client) Machines(ctx context.Context) ([]Machine, error) {
+func (c *Client) Machines(ctx context.Context) ([]guavaplatform.Machine, error) {
 	ctx, _ = c.begin(ctx)
 	reply, err := c.client.Machines(ctx, &guavaschema.MachinesRequest{})
 	if err != nil {
 		return nil, fmt.Errorf("list VMs: %w", readError(err))
 	}
-	list := make([]Machine, 0, len(reply.GetMachines()))
+	list := make([]guavaplatform.Machine, 0, len(reply.GetMachines()))
 	for _, m := range reply.GetMachines() {
-		list = append(list, Machine{Name: m.GetName(), Domain: m.GetDomain(), Address: m.GetAddress(), Leaving: m.GetLeaving()})
+		list = append(list, guavaplatform.Machine{Name: m.GetName(), Domain: m.GetDomain(), Address: m.GetAddress(), Leaving: m.GetLeaving()})
 	}
 	return list, nil
 }
--- a/io/guavaplatform/progress.go
+++ b/io/guavaremote/progress.go
@@ -1,4 +1,4 @@
-package guavaplatform
+package guavaremote
 
 import (
 	"context"
@@ -8,6 +8,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
+
+	"guavaridge/io/guavaplatform"
 )
 
 // progress records how far a call got.
@@ -50,11 +52,11 @@
 	s, _ := status.FromError(err)
 	switch s.Code() {
 	case codes.NotFound:
-		return fmt.Errorf("%w: %w", ErrAbsent, err)
+		return fmt.Errorf("%w: %w", guavaplatform.ErrAbsent, err)
 	case codes.InvalidArgument, codes.Unimplemented, codes.PermissionDenied, codes.Unauthenticated:
 		return err
 	default:
-		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", guavaplatform.ErrUnavailable, err)
 	}
 }
 
@@ -64,18 +66,18 @@
 	s, _ := status.FromError(err)
 	if !g.answered.Load() {
 		if g.sent.Load() {
-			return fmt.Errorf("%w: %w", ErrUnknown, err)
+			return fmt.Errorf("%w: %w", guavaplatform.ErrUnknown, err)
 		}
-		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", guavaplatform.ErrUnavailable, err)
 	}
 	switch s.Code() {
 	case codes.FailedPrecondition:
-		return fmt.Errorf("%w: %w", ErrConflict, err)
+		return fmt.Errorf("%w: %w", guavaplatform.ErrConflict, err)
 	case codes.Unavailable, codes.ResourceExhausted:
-		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", guavaplatform.ErrUnavailable, err)
 	case codes.InvalidArgument, codes.Unimplemented, codes.PermissionDenied, codes.Unauthenticated:
 		return err
 	default:
-		return fmt.Errorf("%w: %w", ErrUnknown, err)
+		return fmt.Errorf("%w: %w", guavaplatform.ErrUnknown, err)
 	}
 }
--- a/io/guavastandin/engine_batch.go
+++ b/io/guavastandin/engine_batch.go
@@ -177,7 +177,9 @@
 		if crossed && len(e.running) > 1 {
 			other = e.running[(i+1)%len(e.running)]
 		}
-		q.emit(other)
+		if q.next < q.total { // a stream that resumes after its last token only lacks its end
+			q.emit(other)
+		}
 		crash = crash || q.crash
 		if q.next >= q.total {
 			q.finish()
--- a/io/guavastandin/engine_test.go
+++ b/io/guavastandin/engine_test.go
@@ -247,3 +247,41 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// events collects the text of a stream.
+type events struct{ text strings.Builder }
+
+func (*events) Head(int, map[string]string) error { return nil }
+
+func (e *events) Event(data []byte) error {
+	var v struct{ Choices []struct{ Text string } }
+	if err := json.Unmarshal(data, &v); err != nil {
+		return fmt.Errorf("event %s: %w", data, err)
+	}
+	for _, c := range v.Choices {
+		e.text.WriteString(c.Text)
+	}
+	return nil
+}
+
+// TestResumeAtEnd guards against an engine that makes one token too many when a stream that broke off after its last token
+// is resumed.
+func TestResumeAtEnd(t *testing.T) {
+	inBubble(t, guavastandin.EngineConfig{Slots: 1}, func(r *rig) {
+		for _, had := range []int{9, 10} {
+			sink := &events{}
+			body := []byte(`{"model":"m","prompt":"p","max_tokens":10,"stream":true}`)
+			_, err := r.Do(r.Context(), guavaback.Attempt{
+				ID: fmt.Sprint("r", had), Address: "engine", Method: "POST", Path: "/v1/completions", Body: body, Stream: true,
+				Text: guavastandin.Text("m", "p", had), Tokens: had,
+			}, sink)
+			if err != nil {
+				r.Error(err)
+			}
+			whole := guavastandin.Text("m", "p", 10)
+			if got, want := sink.text.String(), strings.TrimPrefix(whole, guavastandin.Text("m", "p", had)); got != want {
+				r.Errorf("resumed after %d of 10 tokens: got %q, want %q", had, got, want)
+			}
+		}
+	})
+}
--- a/io/guavastandin/fault.go
+++ b/io/guavastandin/fault.go
@@ -13,13 +13,13 @@
 
 // Fault is a fault of a stand-in as sent to POST /fault. A fault of a kind replaces the one before.
 type Fault struct {
-	// Kind is "crash", "hang", "slow", "late", "cross", "mark" or "clear", which ends all but a crash.
+	// Kind is "crash", "hang", "slow", "late", "cross", "mark" or "clear", which ends all but a crash and a mark.
 	Kind string `json:"kind"`
 	// Millis is the length of a crash or hang (0: until restarted or cleared), and the delay of "late".
 	Millis int64 `json:"millis,omitempty"`
 	// Factor multiplies the time per step of "slow".
 	Factor float64 `json:"factor,omitempty"`
-	// Mark is the text in a request's body that makes the server crash.
+	// Mark is the text in a request's body that makes the server crash, empty for none.
 	Mark string `json:"mark,omitempty"`
 }
 
@@ -231,7 +231,7 @@
 		s.mark = f.Mark
 	case "clear":
 		s.endHang()
-		s.slow, s.late, s.cross, s.mark = 1, 0, false, ""
+		s.slow, s.late, s.cross = 1, 0, false
 	default:
 		return fmt.Errorf("unknown fault kind %q", f.Kind)
 	}
--- a/io/guavastandin/platform_test.go
+++ b/io/guavastandin/platform_test.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"guavaridge/io/guavaplatform"
+	"guavaridge/io/guavaremote"
 	"guavaridge/io/guavaschema"
 	"guavaridge/io/guavastandin"
 )
@@ -161,7 +162,7 @@
 }
 
 // serve returns a client of p over loopback. Connections break after a commit while broken reports true.
-func serve(t *testing.T, p *guavastandin.Platform, broken func() bool) *guavaplatform.Client {
+func serve(t *testing.T, p *guavastandin.Platform, broken func() bool) *guavaremote.Client {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -178,7 +179,7 @@
 	guavastandin.RegisterPlatform(s, p)
 	go func() { _ = s.Serve(cut) }()
 	t.Cleanup(s.Stop)
-	c, err := guavaplatform.New(l.Addr().String(), guavaplatform.WithVM("d1", "v1"))
+	c, err := guavaremote.New(l.Addr().String(), guavaremote.WithVM("d1", "v1"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,7 +223,7 @@
 		t.Fatal(err)
 	}
 	l.Close()
-	none, err := guavaplatform.New(l.Addr().String())
+	none, err := guavaremote.New(l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/io/guavaview/follower.go
@@ -0,0 +1,281 @@
+// Package guavaview keeps copies of tables of the platform's store up to date.
+package guavaview
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"guavaridge/io/guavaplatform"
+)
+
+const (
+	// DefaultWait is how long the store holds a question for changes. A connection that went silent is noticed
+	// that much later, which must stay well below the time in which a configuration has to be in force.
+	DefaultWait = 1200 * time.Millisecond
+	// leastPause and mostPause bound the wait after a failed call.
+	leastPause = 50 * time.Millisecond
+	mostPause  = 800 * time.Millisecond
+	// coveredPause is the pause between looks whether other VMs still tell of changes.
+	coveredPause = 100 * time.Millisecond
+	// beaconMargin is how much longer than the wait of a question the store's last answer may be old.
+	beaconMargin = 200 * time.Millisecond
+	// listTime bounds the first listing of a table.
+	listTime = 3 * time.Second
+)
+
+// Apply takes in changes. If full, the changes are all rows that there are, and others are gone.
+type Apply func(changes []guavaplatform.RowChange, full bool)
+
+// Follower follows one table.
+type Follower struct {
+	feed   guavaplatform.Feed
+	table  string
+	parts  []string
+	wait   time.Duration
+	apply  Apply
+	logger hclog.Logger
+	ready  chan struct{}
+	// covered reports whether other VMs tell of all changes, and publish tells them; either may be nil.
+	covered func() bool
+	publish func(Delta)
+
+	mu       sync.Mutex
+	rows     map[string]guavaplatform.Row
+	position uint64 // everything up to here is in rows
+	changed  uint64 // position of the newest change
+	contact  time.Time
+	failing  time.Time // since when calls fail, zero while they succeed
+	loaded   bool
+}
+
+// New returns a follower of the parts of a table. Apply is called with its lock held, in the order of changes.
+func New(
+	feed guavaplatform.Feed, table string, parts []string, wait time.Duration, apply Apply, logger hclog.Logger,
+) *Follower {
+	return &Follower{
+		feed: feed, table: table, parts: parts, wait: wait, apply: apply, logger: logger,
+		ready: make(chan struct{}), rows: map[string]guavaplatform.Row{},
+	}
+}
+
+// Share makes the follower leave the store alone while covered reports that other VMs tell of all changes, and tell
+// others through publish what it learns from the store. It is called before Run.
+func (f *Follower) Share(covered func() bool, publish func(Delta)) {
+	f.covered, f.publish = covered, publish
+}
+
+// Ready is closed once the table has been read for the first time, from the store or from another VM.
+func (f *Follower) Ready() <-chan struct{} { return f.ready }
+
+// Failing returns for how long the store has not answered, 0 if it does.
+func (f *Follower) Failing(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing.IsZero() {
+		return 0
+	}
+	return now.Sub(f.failing)
+}
+
+// Beacon returns an empty delta that shows how far the copy goes, if the store answers.
+func (f *Follower) Beacon(now time.Time) (Delta, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ok := f.loaded && f.failing.IsZero() && now.Sub(f.contact) < f.wait+beaconMargin
+	return Delta{Table: f.table, From: f.position, To: f.position}, ok
+}
+
+// Position returns up to where the copy is complete, and the time of the store's last answer.
+func (f *Follower) Position() (uint64, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position, f.contact
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause, list := leastPause, true
+	for ctx.Err() == nil {
+		if f.covered != nil && f.isLoaded() && f.covered() {
+			select {
+			case <-time.After(coveredPause):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		err := f.step(ctx, list)
+		switch {
+		case err == nil:
+			pause, list = leastPause, false
+			f.succeeded()
+			continue
+		case errors.Is(err, guavaplatform.ErrTruncated):
+			list = true
+			f.logger.Info("history truncated, listing again", "table", f.table)
+			continue
+		}
+		f.failed(err)
+		select {
+		case <-time.After(pause + rand.N(pause)): //nolint:gosec // jitter
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, mostPause)
+	}
+}
+
+func (f *Follower) step(ctx context.Context, list bool) error {
+	if list {
+		ctx, stop := context.WithTimeout(ctx, listTime)
+		defer stop()
+		rows, position, err := f.feed.Snapshot(ctx, f.table, f.parts)
+		if err != nil {
+			return err
+		}
+		f.replace(rows, position)
+		return nil
+	}
+	position, _ := f.Position()
+	changes, next, err := f.feed.Changes(ctx, f.table, position, f.wait)
+	if err != nil {
+		return err
+	}
+	d := Delta{Table: f.table, From: position, To: next, Changes: changes}
+	f.deliver(d)
+	if f.publish != nil && len(changes) > 0 {
+		f.publish(d)
+	}
+	return nil
+}
+
+func (f *Follower) isLoaded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded
+}
+
+// Delta is all that changed in a table between two positions.
+type Delta struct {
+	Table    string
+	From, To uint64
+	Changes  []guavaplatform.RowChange
+}
+
+// Deliver takes in what another VM learnt from the store. It returns false if changes before it are missing here.
+func (f *Follower) Deliver(d Delta) bool {
+	if !f.deliver(d) {
+		return false
+	}
+	f.succeeded()
+	return true
+}
+
+func (f *Follower) deliver(d Delta) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded || d.From > f.position {
+		return false
+	}
+	fresh := d.Changes[:0:0]
+	for _, c := range d.Changes {
+		if old, ok := f.rows[c.Key]; ok && old.Revision >= c.Revision {
+			continue
+		}
+		fresh = append(fresh, c)
+		f.changed = max(f.changed, c.Revision)
+		if c.Removed {
+			delete(f.rows, c.Key)
+		} else {
+			f.rows[c.Key] = c.Row
+		}
+	}
+	f.position = max(f.position, d.To)
+	if len(fresh) > 0 {
+		f.apply(fresh, false)
+	}
+	return true
+}
+
+// replace takes in all rows as of a position.
+func (f *Follower) replace(rows []guavaplatform.Row, position uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.loaded && position < f.position {
+		return false
+	}
+	all := make(map[string]guavaplatform.Row, len(rows))
+	changes := make([]guavaplatform.RowChange, 0, len(rows))
+	for _, r := range rows {
+		all[r.Key] = r
+		f.changed = max(f.changed, r.Revision)
+		changes = append(changes, guavaplatform.RowChange{Row: r})
+	}
+	for key := range f.rows {
+		if _, ok := all[key]; !ok {
+			f.changed = position // the removal's own revision is unknown
+		}
+	}
+	f.rows, f.position = all, position
+	f.apply(changes, true)
+	if !f.loaded {
+		f.loaded = true
+		close(f.ready)
+	}
+	return true
+}
+
+func (f *Follower) succeeded() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.failing.IsZero() {
+		f.logger.Info("store regained", "table", f.table, "outage", time.Since(f.failing).Milliseconds())
+		f.failing = time.Time{}
+	}
+	f.contact = time.Now()
+}
+
+func (f *Follower) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing.IsZero() {
+		f.failing = time.Now()
+		f.logger.Warn("store lost", "table", f.table, "position", f.position, "error", err)
+	}
+}
+
+// Copy is a whole table as of a position, as VMs hand it to each other while the store is away.
+type Copy struct {
+	Table    string
+	Rows     []guavaplatform.Row
+	Position uint64
+}
+
+// Export returns a copy if it holds a change after the position.
+func (f *Follower) Export(after uint64) (Copy, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded || f.changed <= after {
+		return Copy{}, false
+	}
+	c := Copy{Table: f.table, Position: f.position, Rows: make([]guavaplatform.Row, 0, len(f.rows))}
+	for _, r := range f.rows {
+		c.Rows = append(c.Rows, r)
+	}
+	return c, true
+}
+
+// Import takes over a copy that is newer than this VM's own and reports whether it was.
+func (f *Follower) Import(c Copy) bool {
+	if position, _ := f.Position(); c.Position <= position {
+		return false
+	}
+	if !f.replace(c.Rows, c.Position) {
+		return false
+	}
+	f.logger.Info("copy of a table taken from another VM", "table", f.table, "position", c.Position)
+	return true
+}
