--- a/proof/matrix_test.go
+++ b/proof/matrix_test.go
@@ -160,6 +160,38 @@
 	}
 }
 
+// TestMatrixCounts guards against cells that nobody runs because their verdict is misspelt or missing. It prints what -full
+// runs and what it leaves out.
+func TestMatrixCounts(t *testing.T) {
+	cells := readMatrix(t)
+	count := func(what string, names, in []string) {
+		counts := map[string]int{}
+		for _, name := range names {
+			for _, w := range in {
+				c, ok := find(cells, name, w)
+				if !ok || !slices.Contains([]string{"run", "impossible", "red"}, c.verdict) {
+					t.Errorf("%s during %s: verdict %q", name, w, c.verdict)
+				}
+				counts[c.verdict]++
+			}
+		}
+		t.Logf("%s: %d cells run, %d impossible, %d red", what, counts["run"], counts["impossible"], counts["red"])
+	}
+	names, all := make([]string, 0, len(faults)), make([]string, 0, len(flows))
+	var pairs []string
+	for i, a := range faults {
+		names = append(names, a.name)
+		for _, b := range faults[i:] {
+			pairs = append(pairs, a.name+"+"+b.name)
+		}
+	}
+	for _, w := range flows {
+		all = append(all, w.name)
+	}
+	count(fmt.Sprintf("single faults, %d steps each", len(steps)), names, all)
+	count("pairs of faults", pairs, pairFlows)
+}
+
 func runPair(t *testing.T, a, b fault, w flow) {
 	r := newRig(t, seed(a.name, b.name, w.name))
 	var healed sync.WaitGroup
--- a/proof/rollout_test.go
+++ b/proof/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,8 +22,8 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for range 20 {
-			r.complete("rollout", 5, false)
+		for i := range 20 {
+			r.complete(fmt.Sprint("rollout ", i), 5, false)
 			time.Sleep(500 * time.Millisecond)
 		}
 	}()
