Report left-out log lines once a second

Drops after the last line were never told. Change: the writer reports at most once a second, and what is left when it closes.

--- a/io/guavalog/log.go
+++ b/io/guavalog/log.go
@@ -28,6 +28,8 @@
 	// routineShare is the part of the budget, one of so many, after which routine lines are left out until the next second:
 	// under high load the rest suffices for what goes wrong at a VM.
 	routineShare = 2
+	// reportInterval is the time between two lines that count what was left out, so that these stay rare beside the budget.
+	reportInterval = time.Second
 )
 
 // New returns a writer to out of at most budget lines a second. Routine reports whether a line says that all went well; nil
@@ -79,15 +81,30 @@
 	return true
 }
 
+// run writes the lines that wait, and once in a while how many were left out.
 func (w *Writer) run() {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
 	var told, toldRoutine uint64
-	for line := range w.lines {
-		if n := w.dropped.Load(); n != told {
-			routine := w.sampled.Load()
-			_, _ = fmt.Fprintf(w.out, `{"@message":"log lines dropped","count":%d,"routine":%d}`+"\n",
-				n-told, routine-toldRoutine) // nothing else can tell
-			told, toldRoutine = n, routine
+	report := func() {
+		dropped, routine := w.dropped.Load(), w.sampled.Load()
+		if dropped == told {
+			return
+		}
+		_, _ = fmt.Fprintf(w.out, `{"@message":"log lines dropped","count":%d,"routine":%d}`+"\n",
+			dropped-told, routine-toldRoutine) // there is no place left to report a failure to
+		told, toldRoutine = dropped, routine
+	}
+	for {
+		select {
+		case line, open := <-w.lines:
+			if !open {
+				report()
+				return
+			}
+			_, _ = w.out.Write(line) // as above
+		case <-ticker.C:
+			report()
 		}
-		_, _ = w.out.Write(line) // there is no place left to report a failure to
 	}
 }
--- a/io/guavalog/log_test.go
+++ b/io/guavalog/log_test.go
@@ -45,11 +45,12 @@
 		}
 		close(out.release)
 		synctest.Wait()
-		fmt.Fprintln(w, "after")
+		dropped := w.Dropped()
 		w.Close()
 		synctest.Wait()
-		if !bytes.Contains(out.lines.Bytes(), []byte("log lines dropped")) {
-			t.Error("the output does not say that lines were dropped")
+		want := fmt.Appendf(nil, `"log lines dropped","count":%d,"routine":0`, dropped)
+		if !bytes.Contains(out.lines.Bytes(), want) {
+			t.Errorf("the output does not hold %s", want)
 		}
 	})
 }
@@ -103,3 +104,34 @@
 		}
 	})
 }
+
+// TestReports guards against lines about what was left out that take the place of what they count: an overload must not
+// write one beside each line that is kept.
+func TestReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blocked{release: make(chan struct{})}
+		close(out.release)
+		w := guavalog.New(out, 50, nil)
+		const seconds = 3
+		for range seconds * 100 {
+			fmt.Fprintln(w, "line")
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.Close()
+		synctest.Wait()
+		lines := out.lines.Bytes()
+		if n := bytes.Count(lines, []byte("log lines dropped")); n == 0 || n > seconds+1 {
+			t.Errorf("%d reports in %d s, want one a second and one at the end", n, seconds)
+		}
+		counted := 0
+		for line := range bytes.Lines(lines) {
+			var n int
+			if _, err := fmt.Sscanf(string(line), `{"@message":"log lines dropped","count":%d`, &n); err == nil {
+				counted += n
+			}
+		}
+		if kept := bytes.Count(lines, []byte("line\n")); kept+counted != seconds*100 {
+			t.Errorf("%d lines kept and %d counted as left out, of %d", kept, counted, seconds*100)
+		}
+	})
+}
