Stop relying on readers whose last answer of the store is old

Cause: a VM left the store alone while a reader's messages came, whatever the age of the answer that they passed on. A reader that the store stopped answering told for up to 1.4 s more that nothing had changed, and its last message counted for 0.9 s: VMs that reached the store themselves were 2.3 s behind, over the 2 s in which a configuration or a leaving server has to be known. Ruled out: the questions of the VM itself, which begin at once when it is not covered. Change: messages carry the age of the store's answer; an answer counts for 1.65 s.

--- a/io/guavaedge/copies.go
+++ b/io/guavaedge/copies.go
@@ -22,9 +22,12 @@
 	copyAfter = 200 * time.Millisecond
 	// copySources is the number of VMs asked at a time, and of readers that a VM subscribes to.
 	copySources = 2
-	// freshTime is how long the last sign of a reader counts. With the time of a question to the store that follows it
-	// stays below the time in which a configuration has to be in force.
-	freshTime = 900 * time.Millisecond
+	// signTime is how long the last message of a reader counts: three of the copyTime at which they come.
+	signTime = 900 * time.Millisecond
+	// answerTime is how old the answer of the store may be that readers pass on. It is longer than the wait of a reader's
+	// question (guavaview.DefaultWait) and the pause between messages, and with the question to the store that follows it
+	// stays below the 2 s in which a configuration has to be in force.
+	answerTime = 1650 * time.Millisecond
 	// leastReaders is the least number of readers, and readerShare the number of VMs for each further one.
 	leastReaders = 3
 	readerShare  = 20
@@ -62,13 +65,19 @@
 	links       map[*guavamesh.Link]struct{}
 	readers     map[string]bool // to whom this VM subscribes
 	subscribers map[*guavamesh.Link]struct{}
-	fresh       map[string]time.Time // last sign of a reader that the store answers, by table
+	signs       map[string]sign // of readers, by table
+}
+
+// sign is what a reader showed last about a table.
+type sign struct {
+	received time.Time // when its message came
+	answered time.Time // when the store gave the answer that it passed on
 }
 
 func newCopies() *copies {
 	return &copies{
 		followers: map[string]*guavaview.Follower{}, links: map[*guavamesh.Link]struct{}{}, readers: map[string]bool{},
-		subscribers: map[*guavamesh.Link]struct{}{}, fresh: map[string]time.Time{},
+		subscribers: map[*guavamesh.Link]struct{}{}, signs: map[string]sign{},
 	}
 }
 
@@ -118,7 +127,8 @@
 func (c *copies) isCovered(table string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.readers) > 0 && time.Since(c.fresh[table]) < freshTime
+	s := c.signs[table]
+	return len(c.readers) > 0 && time.Since(s.received) < signTime && time.Since(s.answered) < answerTime
 }
 
 // publish tells subscribers of changes.
@@ -160,7 +170,12 @@
 		}
 		c.mu.Lock()
 		if c.readers[l.Peer.Name] {
-			c.fresh[d.Table] = now
+			s := c.signs[d.Table]
+			s.received = now
+			if at := now.Add(-d.Age); at.After(s.answered) {
+				s.answered = at
+			}
+			c.signs[d.Table] = s
 		}
 		c.mu.Unlock()
 	}
--- a/io/guavaview/follower.go
+++ b/io/guavaview/follower.go
@@ -87,10 +87,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ok := f.loaded && f.failing.IsZero() && now.Sub(f.contact) < f.wait+beaconMargin
-	return Delta{Table: f.table, From: f.position, To: f.position}, ok
+	return Delta{Table: f.table, From: f.position, To: f.position, Age: now.Sub(f.contact)}, ok
 }
 
-// Position returns up to where the copy is complete, and the time of the store's last answer.
+// Position returns up to where the copy is complete, and the time of the store's answer that says so.
 func (f *Follower) Position() (uint64, time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -112,7 +112,7 @@
 		switch {
 		case err == nil:
 			pause, list = leastPause, false
-			f.succeeded()
+			f.succeeded(time.Now())
 			continue
 		case errors.Is(err, guavaplatform.ErrTruncated):
 			list = true
@@ -163,6 +163,8 @@
 	Table    string
 	From, To uint64
 	Changes  []guavaplatform.RowChange
+	// Age is the time since the store's answer that says so.
+	Age time.Duration
 }
 
 // Deliver takes in what another VM learnt from the store. It returns false if changes before it are missing here.
@@ -170,7 +172,7 @@
 	if !f.deliver(d) {
 		return false
 	}
-	f.succeeded()
+	f.succeeded(time.Now().Add(-d.Age))
 	return true
 }
 
@@ -228,14 +230,17 @@
 	return true
 }
 
-func (f *Follower) succeeded() {
+// succeeded takes in that the store answered at a time.
+func (f *Follower) succeeded(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.failing.IsZero() {
 		f.logger.Info("store regained", "table", f.table, "outage", time.Since(f.failing).Milliseconds())
 		f.failing = time.Time{}
 	}
-	f.contact = time.Now()
+	if at.After(f.contact) {
+		f.contact = at
+	}
 }
 
 func (f *Follower) failed(err error) {
