Ask the store before a page of results is said to be empty

The store served seven of eleven VMs from 31.5 s on and the VM's readers were probably among the four others: the copy of the table of jobs was up to 2.3 s old, and only silence of the configuration's table counted as stale, after 1.5 s. The rule allows 1 s. Ruled out: listings (pages that hold results come from the store), a revision that goes back on the board. Change: a page without results is answered from the copy only if the store confirmed it within half of the settle time, which is a setting now; otherwise the job's row is read, and 503 is answered if that fails.

--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -129,7 +129,11 @@
 			}
 			return 0
 		},
-		Retention: seconds(s.Retention), Logger: logger,
+		Confirmed: func() time.Time {
+			_, at := e.jobs.Position()
+			return at
+		},
+		Retention: seconds(s.Retention), Settle: seconds(s.Settle), Logger: logger,
 	})
 	e.gate = guavagate.New(guavagate.Dependencies{
 		Wire: p.Wire, Admission: placer{e.client, s.Domain}, Jobs: e.batch, Sender: sender,
--- a/io/guavaedge/settings.go
+++ b/io/guavaedge/settings.go
@@ -31,6 +31,8 @@
 	Grace float64 `json:"grace"`
 	// Retention is the time in seconds for which results stay readable after a job has closed.
 	Retention float64 `json:"retention"`
+	// Settle is the time in seconds after which a result that one VM has listed must be listed by all, 0 for the default.
+	Settle float64 `json:"settle"`
 	// Overage (a share) and Slack (a number of requests) are what accounts may have beyond their rate and burst because they
 	// are counted over many VMs.
 	Overage float64 `json:"overage"`
@@ -39,6 +41,9 @@
 	Lines int `json:"lines"`
 }
 
+// defaultSettle is the default of Settings.Settle, in seconds, for settings that state none: two reads of a client.
+const defaultSettle = 1
+
 // defaultLines is the most log lines a second. It fits the busiest second of a VM with one line for each request.
 const defaultLines = 400
 
@@ -58,6 +63,9 @@
 	if s.Lines == 0 {
 		s.Lines = defaultLines
 	}
+	if s.Settle == 0 {
+		s.Settle = defaultSettle
+	}
 	return s, nil
 }
 
@@ -75,6 +83,9 @@
 	if s.Cores <= 0 || s.Memory <= 0 || s.Files <= 0 || s.Grace <= 0 {
 		return fmt.Errorf("cores %v, memory %d, files %d, grace %v: each must be above 0", s.Cores, s.Memory, s.Files, s.Grace)
 	}
+	if s.Settle < 0 {
+		return fmt.Errorf("settle: %v is not allowed; want a time in seconds, or 0 for the default", s.Settle)
+	}
 	return nil
 }
 
--- a/io/guavajobs/jobs.go
+++ b/io/guavajobs/jobs.go
@@ -49,13 +49,17 @@
 	Config    func() *guavatraffic.Config
 	// Stale reports whether what this VM knows of the store may be out of date.
 	Stale func() bool
+	// Confirmed returns when the store last confirmed this VM's copy of the table of jobs.
+	Confirmed func() time.Time
 	// Usable reports whether this VM itself knows the server as one that takes requests for the service.
 	Usable func(service, server string) bool
 	// Linked returns the incarnation of the process that a VM's link leads to, 0 if there is none.
 	Linked func(vm string) uint64
 	// Retention is how long results stay readable after a job has closed.
 	Retention time.Duration
-	Logger    hclog.Logger
+	// Settle is how long after one VM has listed a result all VMs must list it.
+	Settle time.Duration
+	Logger hclog.Logger
 }
 
 // Counters counts what Jobs did. The fields may be read at any time.
--- a/io/guavajobs/serve.go
+++ b/io/guavajobs/serve.go
@@ -237,6 +237,13 @@
 		}
 		break
 	}
+	if r.After >= e.job.Listed {
+		var err error
+		if e, err = l.confirm(ctx, e); err != nil {
+			l.unsure(w, r, err)
+			return
+		}
+	}
 	var list []guavaprogress.Result
 	if r.After < e.job.Listed {
 		var err error
@@ -244,9 +251,6 @@
 			l.unsure(w, r, err)
 			return
 		}
-	} else if l.Stale() {
-		l.unsure(w, r, errors.New("the list may be out of date"))
-		return
 	}
 	data, err := l.Codec.Page(e.job.Total, list, r.After+len(list))
 	if err != nil {
@@ -257,6 +261,18 @@
 	w.SetBody(data)
 }
 
+// confirm returns a job as it was at most Settle ago: another VM may have listed results since this VM's copy was
+// confirmed. A closed job does not change.
+func (l *Jobs) confirm(ctx context.Context, e entry) (entry, error) {
+	allowed := l.Settle / 2 // the other half is for the call to the store
+	if !e.job.IsOpen() || time.Since(l.Confirmed()) < allowed {
+		return e, nil
+	}
+	ctx, stop := context.WithTimeout(ctx, allowed)
+	defer stop()
+	return l.read(ctx, e.job.ID)
+}
+
 // list reads results from a position on.
 func (l *Jobs) list(ctx context.Context, j guavaprogress.Job, from int) ([]guavaprogress.Result, error) {
 	var after string
