Bound idle connections to servers by what a server accepts

Cause: each VM kept up to 8 idle connections to a server, whatever the number of VMs. A server accepts a bounded number from all callers and resets those beyond it: 80 VMs could hold 640 where 460 are accepted. Change: all VMs together keep at most half of the bound of the tightest service idle. Not measured yet on the grown sites, where the limit falls from 8 to 2 a VM.

--- a/core/guavatraffic/types.go
+++ b/core/guavatraffic/types.go
@@ -63,6 +63,8 @@
 	Stride int
 	// Slots is the number of requests that a server runs at once, 0 if only the servers tell.
 	Slots int
+	// Connections is the number of connections that a server accepts from all callers together, 0 if there is no bound.
+	Connections int
 }
 
 // Account is a client account.
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -44,8 +44,8 @@
 const (
 	// dialTime bounds the opening of a connection to a backend server. Servers of a region answer within milliseconds.
 	dialTime = 150 * time.Millisecond
-	// idleAge is how long an idle connection to a backend server is kept, and idleLimit how many for each. A server accepts
-	// a few hundred connections from all VMs together.
+	// idleAge is how long an idle connection to a backend server is kept, and idleLimit how many for each at most: as many
+	// as a server usually has places.
 	idleAge   = 2 * time.Second
 	idleLimit = 8
 	// spareFiles is the number of file descriptors that are not for callers.
@@ -77,6 +77,7 @@
 	copies   *copies
 	gate     *guavagate.Gate
 	batch    *guavajobs.Jobs
+	pool     *guavapool.Pool
 	metrics  *guavametrics.Metrics
 
 	config, servers, vms, jobs *guavaview.Follower
@@ -116,7 +117,8 @@
 		}
 		return &guavatraffic.Config{}
 	}, guavaquota.Tolerance{Overage: s.Overage, Slack: s.Slack}, e.copies, network.Dial, logger)
-	sender := guavasend.New(guavapool.New(network.Dial, dialTime, idleAge, idleLimit, &guavapool.Counters{}))
+	e.pool = guavapool.New(network.Dial, dialTime, idleAge, idleLimit, &guavapool.Counters{})
+	sender := guavasend.New(e.pool)
 	store := guavafallback.New(p.Store, p.Store, func() bool { return e.config.Failing(time.Now()) > copyAfter },
 		e.copies.sources, logger)
 	e.copies.fallback = store
@@ -165,6 +167,7 @@
 			services = append(services, name)
 		}
 		slices.Sort(services)
+		e.pool.SetLimit(c.IdleConnections(len(list), idleLimit))
 	}
 	e.mu.Lock()
 	owners := e.owners
--- a/io/guavapool/pool.go
+++ b/io/guavapool/pool.go
@@ -100,6 +100,14 @@
 	}
 }
 
+// SetLimit changes how many idle connections are kept for each address. Those beyond it are closed when
+// they are put back or have been idle for too long.
+func (p *Pool) SetLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+}
+
 // take returns the connection used last, or nil.
 func (p *Pool) take(address string) *Connection {
 	p.mu.Lock()
