Give back the token of a request that has not run

Cause: a request took a token of its account's rate and kept it when it was refused for want of a place or turned away by servers. An account within its rate was then told that it sends too much. Ruled out: more runs than the rate allows; a returned token expires with the others and no run used it.

--- a/core/guavaquota/ledger.go
+++ b/core/guavaquota/ledger.go
@@ -157,6 +157,14 @@
 	return true
 }
 
+// Return takes back a token whose request has not run, so that refusals in an overload do not use up the rate of the account.
+// It expires with the others.
+func (s *Stock) Return(now time.Time) {
+	if now.Before(s.expires) {
+		s.tokens++
+	}
+}
+
 // Denied returns how long it is until the owner may have tokens again, 0 if it is to be asked.
 func (s *Stock) Denied(now time.Time) time.Duration { return max(s.denied.Sub(now), 0) }
 
--- a/core/guavaquota/ledger_test.go
+++ b/core/guavaquota/ledger_test.go
@@ -162,6 +162,25 @@
 	}
 }
 
+// TestReturnedToken guards against an account whose rate is used up by requests that were refused before they ran, and
+// against returned tokens that outlive the others.
+func TestReturnedToken(t *testing.T) {
+	var s guavaquota.Stock
+	s.Add(epoch, epoch.Add(10*time.Millisecond), 1, 0)
+	for i := range 5 {
+		now := epoch.Add(time.Duration(20*i) * time.Millisecond)
+		if !s.Use(now) {
+			t.Fatalf("request %d gets no token although none has run", i)
+		}
+		s.Return(now.Add(10 * time.Millisecond))
+	}
+	late := epoch.Add(guavaquota.TokenTime + time.Millisecond)
+	s.Return(late)
+	if s.Use(late) {
+		t.Error("a token that was returned outlived its time")
+	}
+}
+
 // TestTakeover guards against more than is allowed in any window when the VM that gave out an account's tokens is lost right
 // after it gave out the whole burst, and against a new owner that has next to nothing to give because it heard the other VMs
 // one by one.
--- a/io/guavacoord/tokens.go
+++ b/io/guavacoord/tokens.go
@@ -62,6 +62,15 @@
 	return false, suspectTime
 }
 
+// Return takes back the token of a request that has not run and never will.
+func (c *Client) Return(account string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.stocks[account]; s != nil {
+		s.Return(time.Now())
+	}
+}
+
 // fetch asks the owner of the account for tokens.
 func (c *Client) fetch(account string, s *stock) {
 	for range tries {
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -66,6 +66,7 @@
 	tries     int
 	waited    time.Duration
 	server    string
+	token     bool // holds a token of the account's rate
 }
 
 // serve answers the request, or leaves a stream behind that does.
@@ -175,6 +176,7 @@
 			return false
 		}
 		g.Counters.Tokens.Add(1)
+		c.token = true
 	}
 	c.service = c.route.Service(c.request.ID)
 	// The server may use the context again for its own ends while a stream is still being passed on.
@@ -371,6 +373,9 @@
 // refuse answers that the request has not run.
 func (c *call) refuse(status int, after time.Duration, reason string) {
 	c.gate.Counters.Refused.Add(1)
+	if c.token {
+		c.gate.Admission.Return(c.account)
+	}
 	c.ctx.SetStatusCode(status)
 	c.gate.Wire.Retry(&c.ctx.Response.Header, after)
 	c.log("refused", "status", status, "cause", reason, "after", after.Milliseconds())
--- a/io/guavagate/gate.go
+++ b/io/guavagate/gate.go
@@ -22,6 +22,8 @@
 type Admission interface {
 	Acquire(ctx context.Context, service string, r guavaplace.Request) (*guavacoord.Place, error)
 	Token(ctx context.Context, account string) (ok bool, after time.Duration)
+	// Return takes back the token of a request that has not run and never will.
+	Return(account string)
 }
 
 // Jobs serves the operations on batch jobs.
