Count how requests end by kind, outcome and cause, and how far first bytes are from what was expected

Cause: metrics told how many requests were refused or failed, not which kind or why, and nothing said whether the coordinator's expectation of the first byte holds. Change: guavaridge_ended_total by kind of route or operation, outcome and cause, each from a fixed set of words; the coordinator sends with a place when it expects the first byte, and VMs publish the deviation.

--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -73,6 +73,8 @@
 	// Server and Address say where a request runs.
 	Server  string
 	Address string
+	// Expected is the time that a request which runs is expected to take from now to the first byte of its answer.
+	Expected time.Duration
 	// After is when a refused caller may come again.
 	After time.Duration
 	// Reason says in a word why a request was refused.
--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -382,7 +382,10 @@
 	s.runs[w.Key] = r
 	v.add(r)
 	s.paths.begin(w.Domain, v.Domain)
-	s.decide(Decision{Key: w.Key, Action: Run, Server: v.ID, Address: v.Address, Waited: now.Sub(w.arrived)})
+	s.decide(Decision{
+		Key: w.Key, Action: Run, Server: v.ID, Address: v.Address, Waited: now.Sub(w.arrived),
+		Expected: s.kinds[w.Class].first(),
+	})
 }
 
 func (s *Scheduler) newRun(began time.Time, w *waiting, v *server) *run {
--- a/io/guavacoord/place.go
+++ b/io/guavacoord/place.go
@@ -17,6 +17,8 @@
 	// Coordinator is the VM that decided, and Waited the time that it took.
 	Coordinator string
 	Waited      time.Duration
+	// Expected is the time from the decision to the first byte of the answer, as the coordinator expects it.
+	Expected time.Duration
 
 	client  *Client
 	service string
@@ -106,7 +108,7 @@
 		return nil, &RefusalError{After: d.After, Reason: d.Reason}
 	}
 	place := &Place{
-		Server: d.Server, Address: d.Address, Coordinator: vm, Waited: d.Waited,
+		Server: d.Server, Address: d.Address, Coordinator: vm, Waited: d.Waited, Expected: d.Expected,
 		client: c, service: service, request: r, began: time.Now(), yield: make(chan struct{}),
 	}
 	c.mu.Lock()
--- a/io/guavaedge/metrics.go
+++ b/io/guavaedge/metrics.go
@@ -19,6 +19,9 @@
 // time of a request.
 var timeBounds = []float64{0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 5}
 
+// deviationBounds are the same for differences from what was expected, which are negative for what came sooner.
+var deviationBounds = []float64{-0.5, -0.1, -0.05, -0.02, 0, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}
+
 // metricsTime bounds the reading of a question for metrics.
 const metricsTime = 2 * time.Second
 
@@ -28,16 +31,27 @@
 	for _, h := range [...]struct {
 		take       *func(float64)
 		name, help string
+		bounds     []float64
 	}{
-		{&t.Wait, "guavaridge_place_wait", "time until a request got a place on a server or was refused"},
-		{&t.First, "guavaridge_first_byte", "time from the arrival of a request to the first byte of its answer"},
-		{&t.Whole, "guavaridge_answer", "time from the arrival of a request to the end of its answer"},
+		{&t.Wait, "guavaridge_place_wait", "time until a request got a place on a server or was refused", timeBounds},
+		{&t.First, "guavaridge_first_byte", "time from the arrival of a request to the first byte of its answer", timeBounds},
+		{&t.Whole, "guavaridge_answer", "time from the arrival of a request to the end of its answer", timeBounds},
+		{
+			&t.Deviation, "guavaridge_first_byte_deviation",
+			"time from the grant of a place to the first byte, less what the coordinator expected", deviationBounds,
+		},
 	} {
 		var err error
-		if *h.take, err = m.Histogram(h.name, h.help, "s", timeBounds...); err != nil {
+		if *h.take, err = m.Histogram(h.name, h.help, "s", h.bounds...); err != nil {
 			return guavagate.Timings{}, fmt.Errorf("metrics: %w", err)
 		}
 	}
+	count, err := m.LabelledCounter("guavaridge_ended", "requests by kind of route or operation, outcome and cause",
+		"kind", "outcome", "cause")
+	if err != nil {
+		return guavagate.Timings{}, fmt.Errorf("metrics: %w", err)
+	}
+	t.Ended = func(e guavagate.Ending) { count(e.Kind, string(e.Outcome), e.Cause) }
 	return t, nil
 }
 
--- a/io/guavagate/answer.go
+++ b/io/guavagate/answer.go
@@ -48,6 +48,7 @@
 	c.gate.Counters.Answered.Add(1)
 	c.gate.Timings.Whole(time.Since(c.arrived).Seconds())
 	c.log(answered, "status", status, "bytes", len(body))
+	c.ended(Answered, causeNone)
 	return false
 }
 
@@ -218,6 +219,7 @@
 		c.gate.Counters.Answered.Add(1)
 		c.gate.Timings.Whole(time.Since(c.arrived).Seconds())
 		c.log(answered, "status", fasthttp.StatusOK, "events", s.events)
+		c.ended(Answered, causeNone)
 	} else {
 		s.exchange.Close()
 		s.place.Release(guavaplace.Cancelled, 0)
@@ -227,6 +229,11 @@
 		}
 		c.gate.Counters.Failed.Add(1)
 		c.log("broken off", "events", s.events, "cause", cause.Error())
+		if errors.Is(cause, errGone) {
+			c.ended(Left, causeNone)
+		} else {
+			c.ended(Broken, causeServer)
+		}
 	}
 	c.end()
 	return nil
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -1,6 +1,7 @@
 package guavagate
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -78,12 +79,14 @@
 	if c.request.Operation != Forward {
 		defer c.end()
 		c.gate.Jobs.Serve(c.run, c.ctx, c.request, c.account)
+		c.endedJob()
 		return
 	}
 	if c.route.Kind == guavatraffic.Batch {
 		defer c.end()
 		c.gate.Jobs.Submit(c.run, c.ctx, c.request, c.route, c.account)
 		c.log("submission", "status", c.ctx.Response.StatusCode())
+		c.endedJob()
 		return
 	}
 	if streaming := c.limitAndDispatch(); !streaming {
@@ -128,6 +131,7 @@
 	}
 	c.ctx.SetStatusCode(status)
 	c.log("refused", "status", status, "cause", reason, "version", c.config.Version)
+	c.ended(Rejected, reason)
 }
 
 // begin sets the request's time limit and watches for its caller to leave.
@@ -204,6 +208,7 @@
 	answer := c.gate.Wire.Answer(&x.Response.Header)
 	place.Started(answer.Load)
 	c.gate.Timings.First(time.Since(c.arrived).Seconds())
+	c.gate.Timings.Deviation((time.Since(c.arrived) - c.waited - place.Expected).Seconds())
 	switch {
 	case answer.Misdirected:
 		x.Close()
@@ -213,7 +218,7 @@
 		x.Close()
 		place.Release(guavaplace.Shed, 0)
 		return false, c.notRun("shed")
-	case c.route.Kind == guavatraffic.Stream && x.Response.StatusCode() == fasthttp.StatusOK:
+	case c.isStream(x.Response.StatusCode()):
 		return c.stream(x, place)
 	}
 	return false, c.whole(x, place)
@@ -276,7 +281,7 @@
 	case errors.Is(err, errGone):
 		c.vanished()
 	case c.runs > 0:
-		c.fail(fasthttp.StatusBadGateway, "no place for another try")
+		c.fail(fasthttp.StatusBadGateway, "no place for another try", causeNone)
 	case errors.As(err, &refusal):
 		c.refuse(fasthttp.StatusServiceUnavailable, refusal.After, refusal.Reason)
 	default:
@@ -336,7 +341,7 @@
 		c.refuse(fasthttp.StatusServiceUnavailable, usualAfter, "not sent in time")
 		return false
 	case ended:
-		c.fail(fasthttp.StatusGatewayTimeout, "no answer in time")
+		c.fail(fasthttp.StatusGatewayTimeout, "no answer in time", causeNone)
 		return false
 	}
 	return c.ran(err.Error())
@@ -351,7 +356,7 @@
 		return true
 	}
 	if c.runs > 0 {
-		c.fail(fasthttp.StatusBadGateway, reason)
+		c.fail(fasthttp.StatusBadGateway, reason, causeNone)
 	} else {
 		c.refuse(fasthttp.StatusServiceUnavailable, usualAfter, reason)
 	}
@@ -366,7 +371,7 @@
 		c.log("repeat", "cause", reason, "server", c.server, "runs", c.runs)
 		return true
 	}
-	c.fail(fasthttp.StatusBadGateway, reason)
+	c.fail(fasthttp.StatusBadGateway, causeServer, reason)
 	return false
 }
 
@@ -379,13 +384,15 @@
 	c.ctx.SetStatusCode(status)
 	c.gate.Wire.Retry(&c.ctx.Response.Header, after)
 	c.log("refused", "status", status, "cause", reason, "after", after.Milliseconds())
+	c.ended(Refused, reason)
 }
 
-// fail answers without a promise about whether the request ran.
-func (c *call) fail(status int, reason string) {
+// fail answers without a promise about whether the request ran. The log holds the detail if there is one.
+func (c *call) fail(status int, cause, detail string) {
 	c.gate.Counters.Failed.Add(1)
 	c.ctx.SetStatusCode(status)
-	c.log("failed", "status", status, "cause", reason)
+	c.log("failed", "status", status, "cause", cmp.Or(detail, cause))
+	c.ended(Failed, cause)
 }
 
 // vanished ends a request whose caller has left.
@@ -393,6 +400,7 @@
 	c.gate.Counters.Vanished.Add(1)
 	c.ctx.SetConnectionClose()
 	c.log("caller left")
+	c.ended(Left, causeNone)
 }
 
 // log writes a line about the request with what decided it.
--- a/io/guavagate/gate.go
+++ b/io/guavagate/gate.go
@@ -51,10 +51,26 @@
 	Logger  hclog.Logger
 }
 
-// Timings take in seconds.
+// Timings take in times in seconds, and how requests ended.
 type Timings struct {
 	// Wait is the time for a place, First that to the first byte of the answer, Whole that to its end.
 	Wait, First, Whole func(seconds float64)
+	// Deviation is by how much the first byte came later than expected when the place was granted.
+	Deviation func(seconds float64)
+	Ended     func(e Ending)
+}
+
+// withDefaults returns timings whose missing functions do nothing.
+func (t Timings) withDefaults() Timings {
+	for _, f := range [...]*func(float64){&t.Wait, &t.First, &t.Whole, &t.Deviation} {
+		if *f == nil {
+			*f = func(float64) {}
+		}
+	}
+	if t.Ended == nil {
+		t.Ended = func(Ending) {}
+	}
+	return t
 }
 
 // Counters counts what a Gate did. The fields may be read at any time.
@@ -102,11 +118,7 @@
 
 // New returns a gate that serves nothing yet. It accepts at most connections at a time.
 func New(d Dependencies, connections int) *Gate {
-	for _, f := range [...]*func(float64){&d.Timings.Wait, &d.Timings.First, &d.Timings.Whole} {
-		if *f == nil {
-			*f = func(float64) {}
-		}
-	}
+	d.Timings = d.Timings.withDefaults()
 	g := &Gate{Dependencies: d, returns: map[string]*guavaplace.Returns{}}
 	g.base, g.stop = context.WithCancelCause(context.Background())
 	g.http = &fasthttp.Server{
--- /dev/null
+++ b/io/guavagate/outcome.go
@@ -0,0 +1,70 @@
+package guavagate
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"guavaridge/core/guavatraffic"
+)
+
+// Outcome is how a request of a caller ended.
+type Outcome string
+
+// The outcomes of requests.
+const (
+	// Answered requests got the whole answer of a server, or of this VM about a job.
+	Answered Outcome = "answered"
+	// Rejected requests named a route, key or job that there is none of, or were malformed.
+	Rejected Outcome = "rejected"
+	// Refused requests have not run; their callers were told when to come back.
+	Refused Outcome = "refused"
+	// Failed requests may have run and got no answer of a server.
+	Failed Outcome = "failed"
+	// Broken requests got a part of a stream.
+	Broken Outcome = "broken"
+	// Left requests lost their caller.
+	Left Outcome = "left"
+)
+
+// Causes for which requests end without an answer, where neither the scheduler nor a job gives one. Log lines hold the text
+// of the error instead.
+const (
+	causeServer = "server failed"
+	causeNone   = ""
+)
+
+// Ending is how a request ended. Its fields take few values each, so that they can be labels of a metric.
+type Ending struct {
+	// Kind is that of the route, or the name of an operation on jobs; it is empty without a route.
+	Kind    string
+	Outcome Outcome
+	// Cause says in a word or two why there was no answer.
+	Cause string
+}
+
+// ended counts how the request ended.
+func (c *call) ended(o Outcome, cause string) {
+	kind := string(c.route.Kind)
+	if c.request.Operation != Forward {
+		kind = string(c.request.Operation)
+	}
+	c.gate.Timings.Ended(Ending{Kind: kind, Outcome: o, Cause: cause})
+}
+
+// endedJob counts how a request about a job ended.
+func (c *call) endedJob() {
+	o := Failed
+	switch status := c.ctx.Response.StatusCode(); {
+	case status < fasthttp.StatusMultipleChoices:
+		o = Answered
+	case status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests:
+		o = Refused
+	case status < fasthttp.StatusInternalServerError:
+		o = Rejected
+	}
+	c.ended(o, causeNone)
+}
+
+// isStream reports whether the answer is passed on as it arrives.
+func (c *call) isStream(status int) bool {
+	return c.route.Kind == guavatraffic.Stream && status == fasthttp.StatusOK
+}
--- a/io/guavametrics/metrics.go
+++ b/io/guavametrics/metrics.go
@@ -53,6 +53,26 @@
 	return nil
 }
 
+// LabelledCounter publishes how often something happened for each set of values of the labels, and returns the function that
+// counts. The values come in the order of the labels; their number must be bounded.
+func (m *Metrics) LabelledCounter(name, help string, labels ...string) (func(values ...string), error) {
+	c, err := m.meter.Int64Counter(name, metric.WithDescription(help))
+	if err != nil {
+		return nil, errors.Newf("register counter %s: %w", name, err)
+	}
+	return func(values ...string) {
+		c.Add(context.Background(), 1, metric.WithAttributes(attributes(labels, values)...))
+	}, nil
+}
+
+func attributes(labels, values []string) []attribute.KeyValue {
+	set := make([]attribute.KeyValue, 0, len(labels))
+	for i, l := range labels {
+		set = append(set, attribute.String(l, values[i]))
+	}
+	return set
+}
+
 // Gauge publishes a value that can rise and fall.
 func (m *Metrics) Gauge(name, help string, read func() int64) error {
 	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(help),
@@ -88,11 +108,7 @@
 		return nil, errors.Newf("register histogram %s: %w", name, err)
 	}
 	return func(v float64, values ...string) {
-		set := make([]attribute.KeyValue, 0, len(labels))
-		for i, l := range labels {
-			set = append(set, attribute.String(l, values[i]))
-		}
-		h.Record(context.Background(), v, metric.WithAttributes(set...))
+		h.Record(context.Background(), v, metric.WithAttributes(attributes(labels, values)...))
 	}, nil
 }
 
--- a/io/guavametrics/metrics_test.go
+++ b/io/guavametrics/metrics_test.go
@@ -27,10 +27,16 @@
 		t.Fatal(err)
 	}
 	record(0.5, "read", "ok")
+	count, err := m.LabelledCounter("ended", "Ended requests.", "outcome", "cause")
+	if err != nil {
+		t.Fatal(err)
+	}
+	count("refused", "overload")
+	count("refused", "overload")
 	value = 7
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
-	for _, want := range []string{"requests_total 7", "running 7", `call_seconds_bucket{kind="read",result="ok",le="1"} 1`, "process_open_fds "} {
+	for _, want := range []string{"requests_total 7", "running 7", `call_seconds_bucket{kind="read",result="ok",le="1"} 1`, "process_open_fds ", `ended_total{cause="overload",outcome="refused"} 2`} {
 		if !strings.Contains(w.Body.String(), want) {
 			t.Errorf("endpoint lacks %q:\n%s", want, w.Body)
 		}
