Let batch items begin by turns on a server

The scheduler filled all places at once with the items of all jobs, while the engines still ran what the lost VMs had sent: engines read prompts in order of arrival, so online requests waited for those of the items before them. Ruled out: time until VMs serve (first answer 20 ms after the start), waiting for places, two coordinators (one moment only). Change: a server gets no further item while two there have not begun.

--- a/core/guavaplace/engine_test.go
+++ b/core/guavaplace/engine_test.go
@@ -1,6 +1,9 @@
 package guavaplace_test
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// sequenceCost is the part of a bare step that each further sequence adds to it.
@@ -59,6 +62,15 @@
 	return 0
 }
 
+// orphan is the number of sequences whose VM is gone.
+const orphan = 0
+
+// drop ends all sequences with a number.
+func (e *engine) drop(number uint64) {
+	is := func(s *sequence) bool { return s.number == number }
+	e.queue, e.runs = slices.DeleteFunc(e.queue, is), slices.DeleteFunc(e.runs, is)
+}
+
 func (e *engine) used() int {
 	n := 0
 	for _, s := range e.runs {
--- a/core/guavaplace/server.go
+++ b/core/guavaplace/server.go
@@ -15,6 +15,9 @@
 	foreignTime = 400 * time.Millisecond
 	// memoryShare of an engine's memory is given out, since lengths of outputs are estimates.
 	memoryShare = 0.95
+	// mostBeginning is the number of batch items on a server whose answers have not begun: engines read prompts in order of
+	// arrival, and an online request waits for those before it. Two keep an engine reading while one of them begins.
+	mostBeginning = 2
 	// affinityKept is the number of prompt parts remembered for each server.
 	affinityKept = 64
 	// failureWeight is the weight of a new outcome in a server's share of failures.
@@ -92,6 +95,9 @@
 
 // fits reports whether the server has a free place and memory for the request. One that is limited runs a single request.
 func (s *server) fits(now time.Time, r *Request) bool {
+	if r.Class == Batch && s.beginning() >= mostBeginning {
+		return false
+	}
 	return s.fitsUpTo(now, r, s.most())
 }
 
@@ -103,6 +109,17 @@
 	return s.slots()
 }
 
+// beginning returns the number of batch items whose answers have not begun.
+func (s *server) beginning() int {
+	n := 0
+	for _, r := range s.runs {
+		if r.request.Class == Batch && !r.started {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *server) fitsUpTo(now time.Time, r *Request, most int) bool {
 	if s.used(now) >= most || slices.Contains(r.Avoid, s.ID) {
 		return false
