Notice the store's return on calls of every kind

Cause: while the table of configurations was not heard of, reads, listings and objects went through other VMs only. When the whole store had been away, all VMs sent each other away until the pause of their followers ended, up to 1.6 s after its return; only commits tried the direct way as a last resort, and each of them waited out a silent store. Change: one way for all calls: direct, through others, direct as a probe, one at a time with 200 ms between them. A direct call that was served makes the direct way count as good for a second.

--- a/io/guavafallback/store.go
+++ b/io/guavafallback/store.go
@@ -23,6 +23,8 @@
 	directTime = 400 * time.Millisecond
 	// badTime is how long after a failed direct call other VMs are asked first.
 	badTime = time.Second
+	// probePause is the wait between direct calls while they fail: what a store that is back stays unnoticed at most.
+	probePause = 200 * time.Millisecond
 	// sources is the number of VMs that are tried for a call.
 	sources = 3
 	// concurrent bounds the calls that this VM makes for others at a time.
@@ -40,6 +42,9 @@
 
 	mu      sync.Mutex
 	bad     time.Time            // until when direct calls count as failing
+	good    time.Time            // until when they count as served, after one that was
+	probing bool                 // a direct call is under way although they count as failing
+	probe   time.Time            // when the next such call may be made
 	silent  map[string]time.Time // until when VMs are not asked, by name
 	number  uint64
 	waiting map[uint64]chan reply
@@ -60,12 +65,13 @@
 // failing reports whether direct calls are expected to fail.
 func (s *Store) failing() bool {
 	s.mu.Lock()
-	bad := time.Now().Before(s.bad)
+	now := time.Now()
+	good, bad := now.Before(s.good), now.Before(s.bad)
 	s.mu.Unlock()
-	return bad || s.lost()
+	return !good && (bad || s.lost())
 }
 
-// direct bounds a direct call, and note takes in how it went.
+// direct bounds a direct call while there are other VMs to turn to.
 func (s *Store) direct(ctx context.Context) (context.Context, context.CancelFunc) {
 	if len(s.links(1)) == 0 {
 		return ctx, func() {}
@@ -73,33 +79,81 @@
 	return context.WithTimeout(ctx, directTime)
 }
 
+// note takes in how a direct call went.
 func (s *Store) note(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := time.Now().Add(badTime)
 	if errors.Is(err, guavaplatform.ErrUnavailable) || errors.Is(err, guavaplatform.ErrUnknown) {
-		s.mu.Lock()
-		s.bad = time.Now().Add(badTime)
-		s.mu.Unlock()
+		s.bad, s.good = until, time.Time{}
+		return
 	}
+	s.bad, s.good = time.Time{}, until
 }
 
-// CommitAt implements guavaplatform.Log. A commit through another VM may have been done before the answer was lost, which
-// the checks of a repeated one show.
-func (s *Store) CommitAt(
-	ctx context.Context, checks []guavaplatform.Check, writes []guavaplatform.Write,
-) (uint64, error) {
+// beginProbe reports whether a direct call may be made although they count as failing: one at a time, with a pause after
+// each, so that an outage does not make every caller wait for the store's silence.
+func (s *Store) beginProbe() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.probing || time.Now().Before(s.probe) {
+		return false
+	}
+	s.probing = true
+	return true
+}
+
+func (s *Store) endProbe() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probing, s.probe = false, time.Now().Add(probePause)
+}
+
+// through makes a call: directly unless that is expected to fail, then through other VMs, and directly as the last resort,
+// since the store may be back before anything shows it. Final reports whether a direct call's outcome stands.
+func through(
+	ctx context.Context, s *Store, direct func(ctx context.Context) error, final func(err error) bool,
+	ask func(ctx context.Context) error,
+) error {
 	if !s.failing() {
-		direct, stop := s.direct(ctx)
-		revision, err := s.Log.CommitAt(direct, checks, writes)
+		short, stop := s.direct(ctx)
+		err := direct(short)
 		stop()
 		s.note(err)
-		if !errors.Is(err, guavaplatform.ErrUnavailable) {
-			return revision, err //nolint:wrapcheck // as the store says it
+		if final(err) {
+			return err
 		}
 	}
-	r, err := s.ask(ctx, request{Operation: opCommit, Checks: checks, Writes: writes})
-	if err == nil || errors.Is(err, guavaplatform.ErrConflict) || errors.Is(err, guavaplatform.ErrUnknown) {
-		return r.Revision, err
+	err := ask(ctx)
+	if !errors.Is(err, guavaplatform.ErrUnavailable) || !s.beginProbe() {
+		return err
 	}
-	return s.Log.CommitAt(ctx, checks, writes) //nolint:wrapcheck // as the store says it
+	defer s.endProbe()
+	err = direct(ctx)
+	s.note(err)
+	return err
+}
+
+// isKnown reports whether a call that changes nothing, or the same however often it is made, needs no other way.
+func isKnown(err error) bool { return err == nil || errors.Is(err, guavaplatform.ErrAbsent) }
+
+// isDecided reports whether a commit must not be made again by other ways: it was done or refused, or may have been done.
+func isDecided(err error) bool { return !errors.Is(err, guavaplatform.ErrUnavailable) }
+
+// CommitAt implements guavaplatform.Log. A commit through another VM may have been done before the answer was lost, which
+// the checks of a repeated one show.
+func (s *Store) CommitAt(
+	ctx context.Context, checks []guavaplatform.Check, writes []guavaplatform.Write,
+) (revision uint64, err error) {
+	err = through(ctx, s, func(ctx context.Context) error {
+		revision, err = s.Log.CommitAt(ctx, checks, writes)
+		return err //nolint:wrapcheck // as the store says it
+	}, isDecided, func(ctx context.Context) error {
+		r, err := s.ask(ctx, request{Operation: opCommit, Checks: checks, Writes: writes})
+		revision = r.Revision
+		return err
+	})
+	return revision, err
 }
 
 // Commit implements guavaplatform.Table.
@@ -109,36 +163,34 @@
 }
 
 // Read implements guavaplatform.Table.
-func (s *Store) Read(ctx context.Context, key string) (guavaplatform.Row, error) {
-	if !s.failing() {
-		direct, stop := s.direct(ctx)
-		row, err := s.Log.Read(direct, key)
-		stop()
-		s.note(err)
-		if err == nil || errors.Is(err, guavaplatform.ErrAbsent) {
-			return row, err //nolint:wrapcheck // as the store says it
+func (s *Store) Read(ctx context.Context, key string) (row guavaplatform.Row, err error) {
+	err = through(ctx, s, func(ctx context.Context) error {
+		row, err = s.Log.Read(ctx, key)
+		return err //nolint:wrapcheck // as the store says it
+	}, isKnown, func(ctx context.Context) error {
+		r, err := s.ask(ctx, request{Operation: opRead, Key: key})
+		if err == nil && len(r.Rows) != 1 {
+			return fmt.Errorf("read %s: %d rows: %w", key, len(r.Rows), guavaplatform.ErrUnavailable)
 		}
-	}
-	r, err := s.ask(ctx, request{Operation: opRead, Key: key})
-	if err != nil || len(r.Rows) != 1 {
-		return guavaplatform.Row{}, err
-	}
-	return r.Rows[0], nil
+		if err == nil {
+			row = r.Rows[0]
+		}
+		return err
+	})
+	return row, err
 }
 
 // Scan implements guavaplatform.Table.
-func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]guavaplatform.Row, error) {
-	if !s.failing() {
-		direct, stop := s.direct(ctx)
-		rows, err := s.Log.Scan(direct, prefix, after, limit)
-		stop()
-		s.note(err)
-		if err == nil {
-			return rows, nil
-		}
-	}
-	r, err := s.ask(ctx, request{Operation: opScan, Key: prefix, After: after, Limit: limit})
-	return r.Rows, err
+func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) (rows []guavaplatform.Row, err error) {
+	err = through(ctx, s, func(ctx context.Context) error {
+		rows, err = s.Log.Scan(ctx, prefix, after, limit)
+		return err //nolint:wrapcheck // as the store says it
+	}, isKnown, func(ctx context.Context) error {
+		r, err := s.ask(ctx, request{Operation: opScan, Key: prefix, After: after, Limit: limit})
+		rows = r.Rows
+		return err
+	})
+	return rows, err
 }
 
 // Put implements guavaplatform.Objects.
@@ -147,35 +199,25 @@
 	if err != nil {
 		return fmt.Errorf("put %s: read body: %w", key, err)
 	}
-	if !s.failing() {
-		direct, stop := s.direct(ctx)
-		err := s.Objects.Put(direct, key, bytes.NewReader(data))
-		stop()
-		s.note(err)
-		if err == nil {
-			return nil
-		}
-	}
-	_, err = s.ask(ctx, request{Operation: opPut, Key: key, Body: data})
-	return err
+	return through(ctx, s, func(ctx context.Context) error {
+		return s.Objects.Put(ctx, key, bytes.NewReader(data)) //nolint:wrapcheck // as the store says it
+	}, isKnown, func(ctx context.Context) error {
+		_, err := s.ask(ctx, request{Operation: opPut, Key: key, Body: data})
+		return err
+	})
 }
 
 // Get implements guavaplatform.Objects.
-func (s *Store) Get(ctx context.Context, key string) (io.ReadCloser, error) {
-	if !s.failing() {
-		direct, stop := s.direct(ctx)
-		body, err := s.Objects.Get(direct, key)
-		stop()
-		s.note(err)
-		if err == nil || errors.Is(err, guavaplatform.ErrAbsent) {
-			return body, err //nolint:wrapcheck // as the store says it
-		}
-	}
-	r, err := s.ask(ctx, request{Operation: opGet, Key: key})
-	if err != nil {
-		return nil, err
-	}
-	return io.NopCloser(bytes.NewReader(r.Body)), nil
+func (s *Store) Get(ctx context.Context, key string) (body io.ReadCloser, err error) {
+	err = through(ctx, s, func(ctx context.Context) error {
+		body, err = s.Objects.Get(ctx, key)
+		return err //nolint:wrapcheck // as the store says it
+	}, isKnown, func(ctx context.Context) error {
+		r, err := s.ask(ctx, request{Operation: opGet, Key: key})
+		body = io.NopCloser(bytes.NewReader(r.Body))
+		return err
+	})
+	return body, err
 }
 
 // ask makes a call through another VM. ErrUnavailable means that none could make it.
