Leave callers whose job cannot be taken in time for another try

The caller had no time left to try another VM. Ruled out: refusing at once; callers have one more try, and an outage of a second would use up both. Change: a first try waits for a third of its time, a caller that has come back for four fifths of what is left. Test: TestSubmissionWithoutStore; before, the first try was answered after 4 s.

--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -25,6 +25,10 @@
 	// back gets no further try.
 	lateShare      = 0.3
 	returningShare = 0.5
+	// submitShare and lastSubmitShare are the parts of its time for which the submission of a job waits for the store: a third,
+	// as callers use for Retry-After, and for a caller that has come back what leaves the answer time to reach it.
+	submitShare     = 0.33
+	lastSubmitShare = 0.8
 	// idleOnce bounds how long a connection for a request that may run only once may have been idle.
 	idleOnce = 400 * time.Millisecond
 	// idleMore bounds it for others.
@@ -84,7 +88,7 @@
 	}
 	if c.route.Kind == guavatraffic.Batch {
 		defer c.end()
-		c.gate.Jobs.Submit(c.run, c.ctx, c.request, c.route, c.account)
+		c.submit()
 		c.log("submission", "status", c.ctx.Response.StatusCode())
 		c.endedJob()
 		return
@@ -94,6 +98,19 @@
 	}
 }
 
+// submit hands a job in. While the store does not answer, a first try leaves its caller time for another VM, which may reach
+// the store; a last one waits longer for the store's return.
+func (c *call) submit() {
+	share := submitShare
+	if c.returning {
+		share = lastSubmitShare
+	}
+	limit := time.Duration(share * float64(time.Until(c.deadline)))
+	ctx, stop := context.WithTimeoutCause(c.run, limit, errDeadline)
+	defer stop()
+	c.gate.Jobs.Submit(ctx, c.ctx, c.request, c.route, c.account)
+}
+
 // resolve finds the route and the client account, or answers why there is none.
 func (c *call) resolve() bool {
 	g := c.gate
