--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
-	times, err := timings(metrics)
+	requests, err := requestMetrics(metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -139,7 +139,7 @@
 	})
 	e.gate = guavagate.New(guavagate.Dependencies{
 		Wire: p.Wire, Admission: placer{e.client, s.Domain}, Jobs: e.batch, Sender: sender,
-		Config: config, Stale: e.isStale, Usable: e.registry.usable, Timings: times, Logger: logger,
+		Config: config, Stale: e.isStale, Usable: e.registry.usable, Metrics: requests, Logger: logger,
 	}, s.Files-spareFiles)
 	e.config = guavaview.New(p.Store, p.ConfigTable, []string{""}, guavaview.DefaultWait, e.registry.applyConfig, logger)
 	e.servers = guavaview.New(p.Store, p.ServerTable, []string{""}, guavaview.DefaultWait, e.registry.applyServers, logger)
--- a/io/guavaedge/metrics.go
+++ b/io/guavaedge/metrics.go
@@ -25,9 +25,9 @@
 // metricsTime bounds the reading of a question for metrics.
 const metricsTime = 2 * time.Second
 
-// timings registers the histograms of requests.
-func timings(m *guavametrics.Metrics) (guavagate.Timings, error) {
-	var t guavagate.Timings
+// requestMetrics registers the histograms and counters of requests.
+func requestMetrics(m *guavametrics.Metrics) (guavagate.Metrics, error) {
+	var t guavagate.Metrics
 	for _, h := range [...]struct {
 		take       *func(float64)
 		name, help string
@@ -43,13 +43,13 @@
 	} {
 		var err error
 		if *h.take, err = m.Histogram(h.name, h.help, "s", h.bounds...); err != nil {
-			return guavagate.Timings{}, fmt.Errorf("metrics: %w", err)
+			return guavagate.Metrics{}, fmt.Errorf("metrics: %w", err)
 		}
 	}
 	count, err := m.LabelledCounter("guavaridge_ended", "requests by kind of route or operation, outcome and cause",
 		"kind", "outcome", "cause")
 	if err != nil {
-		return guavagate.Timings{}, fmt.Errorf("metrics: %w", err)
+		return guavagate.Metrics{}, fmt.Errorf("metrics: %w", err)
 	}
 	t.Ended = func(e guavagate.Ending) { count(e.Kind, string(e.Outcome), e.Cause) }
 	return t, nil
--- a/io/guavagate/answer.go
+++ b/io/guavagate/answer.go
@@ -46,7 +46,7 @@
 	copyHead(&c.ctx.Response.Header, &head.Header)
 	c.ctx.Response.SetBodyRaw(body)
 	c.gate.Counters.Answered.Add(1)
-	c.gate.Timings.Whole(time.Since(c.arrived).Seconds())
+	c.gate.Metrics.Whole(time.Since(c.arrived).Seconds())
 	c.log(answered, "status", status, "bytes", len(body))
 	c.ended(Answered, causeNone)
 	return false
@@ -217,7 +217,7 @@
 	c := s.call
 	if s.done {
 		c.gate.Counters.Answered.Add(1)
-		c.gate.Timings.Whole(time.Since(c.arrived).Seconds())
+		c.gate.Metrics.Whole(time.Since(c.arrived).Seconds())
 		c.log(answered, "status", fasthttp.StatusOK, "events", s.events)
 		c.ended(Answered, causeNone)
 	} else {
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -224,8 +224,8 @@
 	}
 	answer := c.gate.Wire.Answer(&x.Response.Header)
 	place.Started(answer.Load)
-	c.gate.Timings.First(time.Since(c.arrived).Seconds())
-	c.gate.Timings.Deviation((time.Since(c.arrived) - c.waited - place.Expected).Seconds())
+	c.gate.Metrics.First(time.Since(c.arrived).Seconds())
+	c.gate.Metrics.Deviation((time.Since(c.arrived) - c.waited - place.Expected).Seconds())
 	switch {
 	case answer.Misdirected:
 		x.Close()
@@ -268,7 +268,7 @@
 		r.Avoid = c.avoid
 		place, err := g.Admission.Acquire(c.run, c.service, r)
 		c.waited = time.Since(c.arrived)
-		g.Timings.Wait(time.Since(now).Seconds())
+		g.Metrics.Wait(time.Since(now).Seconds())
 		if err != nil {
 			return nil, fmt.Errorf("place on %s: %w", c.service, err)
 		}
--- a/io/guavagate/gate.go
+++ b/io/guavagate/gate.go
@@ -46,31 +46,31 @@
 	Stale func() bool
 	// Usable reports whether this VM itself knows the server as one that takes requests for the service.
 	Usable func(service, server string) bool
-	// Timings take in how long requests took, in seconds.
-	Timings Timings
+	// Metrics take in how requests went.
+	Metrics Metrics
 	Logger  hclog.Logger
 }
 
-// Timings take in times in seconds, and how requests ended.
-type Timings struct {
-	// Wait is the time for a place, First that to the first byte of the answer, Whole that to its end.
+// Metrics take in how requests went. Functions that are missing take in nothing.
+type Metrics struct {
+	// Wait takes in the time for a place, First that to the first byte of the answer, Whole that to its end.
 	Wait, First, Whole func(seconds float64)
-	// Deviation is by how much the first byte came later than expected when the place was granted.
+	// Deviation takes in by how much the first byte came later than expected when the place was granted.
 	Deviation func(seconds float64)
 	Ended     func(e Ending)
 }
 
-// withDefaults returns timings whose missing functions do nothing.
-func (t Timings) withDefaults() Timings {
-	for _, f := range [...]*func(float64){&t.Wait, &t.First, &t.Whole, &t.Deviation} {
+// withDefaults returns metrics whose missing functions do nothing.
+func (m Metrics) withDefaults() Metrics {
+	for _, f := range [...]*func(float64){&m.Wait, &m.First, &m.Whole, &m.Deviation} {
 		if *f == nil {
 			*f = func(float64) {}
 		}
 	}
-	if t.Ended == nil {
-		t.Ended = func(Ending) {}
+	if m.Ended == nil {
+		m.Ended = func(Ending) {}
 	}
-	return t
+	return m
 }
 
 // Counters counts what a Gate did. The fields may be read at any time.
@@ -118,7 +118,7 @@
 
 // New returns a gate that serves nothing yet. It accepts at most connections at a time.
 func New(d Dependencies, connections int) *Gate {
-	d.Timings = d.Timings.withDefaults()
+	d.Metrics = d.Metrics.withDefaults()
 	g := &Gate{Dependencies: d, returns: map[string]*guavaplace.Returns{}}
 	g.base, g.stop = context.WithCancelCause(context.Background())
 	g.http = &fasthttp.Server{
--- a/io/guavagate/outcome.go
+++ b/io/guavagate/outcome.go
@@ -47,7 +47,7 @@
 	if c.request.Operation != Forward {
 		kind = string(c.request.Operation)
 	}
-	c.gate.Timings.Ended(Ending{Kind: kind, Outcome: o, Cause: cause})
+	c.gate.Metrics.Ended(Ending{Kind: kind, Outcome: o, Cause: cause})
 }
 
 // endedJob counts how a request about a job ended.
--- a/io/guavajobs/serve.go
+++ b/io/guavajobs/serve.go
@@ -238,11 +238,12 @@
 		break
 	}
 	if r.After >= e.job.Listed {
-		var err error
-		if e, err = l.confirm(ctx, e); err != nil {
+		confirmed, err := l.confirm(ctx, e)
+		if err != nil {
 			l.unsure(w, r, err)
 			return
 		}
+		e = confirmed
 	}
 	var list []guavaprogress.Result
 	if r.After < e.job.Listed {
--- a/io/guavapool/pool_test.go
+++ b/io/guavapool/pool_test.go
@@ -32,7 +32,7 @@
 	p := guavapool.New(dial, time.Second, time.Minute, 4, &guavapool.Counters{})
 	defer p.Close()
 	put := func(n int) {
-		var list []*guavapool.Connection
+		list := make([]*guavapool.Connection, 0, n)
 		for range n {
 			c, err := p.Open(t.Context(), "server")
 			if err != nil {
