--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -21,10 +21,10 @@
 const (
 	// defaultLeft is the time of a request whose caller and route give none.
 	defaultLeft = 10 * time.Second
-	// lateShare and returningShare are the parts of its time for which a request may wait for a place in vain: what comes
-	// back gets no further try.
+	// lateShare and returningShare are the parts of its time for which a request may wait for a place in vain. What comes back
+	// gets no further try here, but more than half of its time is left for its caller to do without.
 	lateShare      = 0.3
-	returningShare = 0.5
+	returningShare = 0.4
 	// submitShare and lastSubmitShare are the parts of its time for which the submission of a job waits for the store: a third,
 	// as callers use for Retry-After, and for a caller that has come back what leaves the answer time to reach it.
 	submitShare     = 0.33
