Send items again on new connections when a used one breaks under them

Ruled out: a job without owner; the item's VM ran it all along. Change: a used connection that breaks before an answer begins says nothing about the item; the item goes out again at once, on new connections from then on, where a break counts.

--- a/io/guavasend/sender.go
+++ b/io/guavasend/sender.go
@@ -29,6 +29,9 @@
 	Sent bool
 	// Quiet reports whether the server sent nothing in the time given.
 	Quiet bool
+	// Stale reports whether the request went out on a connection that had been idle and that broke before an answer began:
+	// the server may have closed it without the request.
+	Stale bool
 	Err   error
 }
 
@@ -45,7 +48,7 @@
 	ID       string
 	IDHeader string
 	Message  *fasthttp.Request
-	// Idle bounds how long a connection that is used again may have been idle.
+	// Idle bounds how long a connection that is used again may have been idle; 0 asks for a new connection.
 	Idle time.Duration
 	// Quiet bounds the wait for the head of the answer, 0 for no bound.
 	Quiet time.Duration
@@ -75,7 +78,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Err: context.Cause(ctx)}
 	}
-	c, err := s.pool.ConnectWithin(ctx, r.Address, r.Idle)
+	c, err := s.connect(ctx, r)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -89,11 +92,18 @@
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
-		return nil, &Error{Sent: sent, Quiet: quiet, Err: err}
+		return nil, &Error{Sent: sent, Quiet: quiet, Stale: c.Reused && !quiet, Err: err}
 	}
 	return x, nil
 }
 
+func (s *Sender) connect(ctx context.Context, r Request) (*guavapool.Connection, error) {
+	if r.Idle <= 0 {
+		return s.pool.Open(ctx, r.Address) //nolint:wrapcheck // it names the server
+	}
+	return s.pool.ConnectWithin(ctx, r.Address, r.Idle) //nolint:wrapcheck // likewise
+}
+
 func (x *Exchange) begin(r Request) error {
 	if len(r.Message.Body()) > largeBody {
 		go func() { x.written <- x.write(r.Message) }()
