Hand back a chunk whose servers fell to another VM

Seven failures in some 1,000 runs beside load showed the same state: one VM held the job's only chunk and renewed its lease, while all engines that run it were granted to others, since grants moved as the replaced VMs came back. Nothing handed it on. Ruled out: a lost row, a claim that conflicts for ever; the other VMs had grants and found no open chunk. Change: a VM that has had no server for a chunk for 10 s hands it back with what is finished.

--- a/io/guavabatch/hold.go
+++ b/io/guavabatch/hold.go
@@ -43,6 +43,8 @@
 	recording bool
 	left      []int // open items per group
 	ending    bool  // the result is being written
+	// served is when this VM last had a grant for a server that runs the items, or a stream of them.
+	served time.Time
 
 	rowMu    lock
 	chunk    guavajob.Chunk
--- a/io/guavabatch/loss_test.go
+++ b/io/guavabatch/loss_test.go
@@ -38,6 +38,10 @@
 			<-written
 			f.kill(a)
 		}},
+		{"loses its servers to another VM in mid-chunk", func(f *fleet, a *vm) {
+			waitUntil(func() bool { return f.servers.answered() > 100 })
+			a.grants.set()
+		}},
 		{"leaves in mid-chunk", func(f *fleet, a *vm) {
 			waitUntil(func() bool { return f.servers.answered() > 100 })
 			a.stop()
--- a/io/guavabatch/schedule.go
+++ b/io/guavabatch/schedule.go
@@ -6,12 +6,18 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"guavaridge/core/guavaconfig"
 	"guavaridge/core/guavafill"
 	"guavaridge/core/guavajob"
 	"guavaridge/io/guavaplatform"
 )
 
+// strandedTime is how long a VM keeps a chunk without a server that runs its items. Grants move between VMs as these come and
+// go, which settles within a few intervals of their exchange.
+const strandedTime = 10 * time.Second
+
 // tick is the longest time between two schedules. Grants that grow with time and deadlines are noticed at this grain.
 const tick = 200 * time.Millisecond
 
@@ -58,6 +64,7 @@
 	holds := r.order(now)
 	r.urge(holds, grants, snapshot, now)
 	r.reserve(holds, grants, snapshot, now)
+	r.leaveStranded(ctx, holds, grants, snapshot, now)
 	next := tick
 	for _, g := range grants {
 		server, ok := snapshot.Server(g.Server)
@@ -88,6 +95,44 @@
 	return holds
 }
 
+// leaveStranded hands back chunks whose items no granted server runs any more, since the servers fell to another VM after the
+// chunk was claimed: the lease would be renewed for ever and nothing would run.
+func (r *Runner) leaveStranded(
+	ctx context.Context, holds []*hold, grants []guavafill.Grant, snapshot *guavaconfig.Snapshot, now time.Time,
+) {
+	for _, h := range holds {
+		serves := func(g guavafill.Grant) bool {
+			server, ok := snapshot.Server(g.Server)
+			return ok && fits(server, h.route, h.model)
+		}
+		if h.served.IsZero() || r.streamsOf(h) || slices.ContainsFunc(grants, serves) {
+			h.served = now
+		}
+		if now.Sub(h.served) < strandedTime {
+			continue
+		}
+		h.served = now // the next try comes after another such time
+		r.log.Warn("chunk handed back, no server for it here", "chunk", h.key)
+		r.tasks.Go(func() {
+			if err := r.release(ctx, h); err != nil && !errors.Is(err, errLost) {
+				r.log.Warn("hand back chunk", "chunk", h.key, "error", err)
+			}
+		})
+	}
+}
+
+// streamsOf reports whether items of a chunk are being run.
+func (r *Runner) streamsOf(h *hold) bool {
+	for _, streams := range r.streams {
+		for s := range streams {
+			if s.work.hold == h {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // urge reports the urgency of the held jobs for each server.
 func (r *Runner) urge(holds []*hold, grants []guavafill.Grant, snapshot *guavaconfig.Snapshot, now time.Time) {
 	for _, g := range grants {
