Hold back an item that seems to crash servers for a short time at first

At 22.4 s three servers that go down and up by turns reset an item within 60 ms before it ran; it was held back for 15 s, met a server that hung, and was held back for 15 s more, while the servers were well from 24 s on. Ruled out: forgotten connections; these were new ones. Change: items are held back for 3, then 12, then 30 s, so that they still get three more runs in the retention of a minute.

--- a/core/guavaprogress/job.go
+++ b/core/guavaprogress/job.go
@@ -171,8 +171,15 @@
 	GiveUp Verdict = "give up"
 )
 
-// mostCrashes is the number of servers that an item may crash before it is held back.
-const mostCrashes = 3
+const (
+	// mostCrashes is the number of servers that an item may crash before it is held back.
+	mostCrashes = 3
+	// leastHold is the first time for which an item is held back: servers that go down and up by turns are back in it.
+	// Further ones are holdGrowth times longer each, at most mostHold: 3, 12 and 30 s fit into a retention of a minute.
+	leastHold  = 3 * time.Second
+	holdGrowth = 4
+	mostHold   = 30 * time.Second
+)
 
 // Fail takes in an answer that says that the item ran and failed.
 func (p *Progress) Fail(attempts int) Verdict {
@@ -183,6 +190,17 @@
 	return Again
 }
 
+// HoldTime is how long an item that seems to crash servers is held back before a single further run. The first time is short:
+// servers that come and go look the same, and a fleet in trouble recovers within seconds. Each further one is longer, so that an
+// item which does crash servers gets three more runs in the retention of a minute.
+func (p *Progress) HoldTime() time.Duration {
+	hold := leastHold
+	for range p.crashes - mostCrashes {
+		hold = min(holdGrowth*hold, mostHold)
+	}
+	return hold
+}
+
 // Crash takes in a run that broke off, with the number of events that it had made.
 func (p *Progress) Crash(made int) Verdict {
 	if made > 0 {
--- a/core/guavaprogress/job_test.go
+++ b/core/guavaprogress/job_test.go
@@ -53,6 +53,9 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("crashes (-want +got):\n%s", diff)
 	}
+	if d := p.HoldTime(); d != 3*time.Second {
+		t.Errorf("held back for %v at first, want 3 s", d)
+	}
 	if v := guavaprogress.Restore(p.Save()).Crash(0); v != guavaprogress.Hold {
 		t.Errorf("another VM forgets that the item crashes servers: %s", v)
 	}
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -28,9 +28,6 @@
 	quietTime = 2500 * time.Millisecond
 	// againPause is the wait before an item is sent again after a failure.
 	againPause = 150 * time.Millisecond
-	// holdTime is how long an item that seems to crash servers is held back before a single further run. Servers that break
-	// off some of their runs look the same, so it is not given up; in the retention of a minute it gets three more runs.
-	holdTime = 15 * time.Second
 	// retentionMargin is by how much later than at the end of its retention an item is given up, since clocks differ.
 	retentionMargin = 6 * time.Second
 	// idleConnection bounds how long a connection for an item may have been idle.
@@ -102,6 +99,12 @@
 	return r.progress.Crash(made)
 }
 
+func (r *itemRun) holdTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.progress.HoldTime()
+}
+
 func (r *itemRun) add(e guavaevent.Event) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -133,7 +136,7 @@
 			return r.dead(reason), true
 		case guavaprogress.Hold:
 			r.runner.jobs.Logger.Warn("item held back", "item", r.item.ID, "job", job.ID, "cause", reason)
-			r.wait(ctx, min(holdTime, time.Until(retained)))
+			r.wait(ctx, min(r.holdTime(), time.Until(retained)))
 		}
 	}
 	return guavaprogress.Result{}, false
