Let a returned token be used for no longer than it was given

Cause: found on reading the change again. A token that a refused request gave back joined whatever the VM had got since and took over its expiry. Requests hold their token while they wait, so after an overload of seconds the tokens of all that were refused could be used at once, beside those given out then. The rate of an account is a promise over every window. Ruled out: tokens that run late with the request which took them; such a request was sent when its token was given. Change: each token keeps its own expiry, in the stock and with the request. TestReturnedToken with tokens that came since.

--- a/core/guavaquota/ledger.go
+++ b/core/guavaquota/ledger.go
@@ -8,6 +8,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -128,11 +129,10 @@
 
 // Stock is a VM's side: the tokens that it got for an account and has not used.
 type Stock struct {
-	tokens  int
-	expires time.Time
-	denied  time.Time // no use in asking before
-	asked   average
-	last    time.Time
+	tokens []time.Time // when each expires, the first to do so first
+	denied time.Time   // no use in asking before
+	asked  average
+	last   time.Time
 }
 
 type average struct{ value float64 }
@@ -146,23 +146,27 @@
 	demandMemory = time.Second
 )
 
-// Use takes a token from the stock.
-func (s *Stock) Use(now time.Time) bool {
+// Use takes a token from the stock. It returns until when the token may be used.
+func (s *Stock) Use(now time.Time) (until time.Time, ok bool) {
 	s.count(now)
-	if s.tokens <= 0 || now.After(s.expires) {
-		s.tokens = 0
-		return false
+	for len(s.tokens) > 0 {
+		until, s.tokens = s.tokens[0], s.tokens[1:]
+		if !now.After(until) {
+			return until, true
+		}
 	}
-	s.tokens--
-	return true
+	return time.Time{}, false
 }
 
 // Return takes back a token whose request has not run, so that refusals in an overload do not use up the rate of the account.
-// It expires with the others.
-func (s *Stock) Return(now time.Time) {
-	if now.Before(s.expires) {
-		s.tokens++
+// It may be used for no longer than before: tokens that requests held while they waited would otherwise run beside those given
+// out since.
+func (s *Stock) Return(now, until time.Time) {
+	if now.After(until) {
+		return
 	}
+	i, _ := slices.BinarySearchFunc(s.tokens, until, time.Time.Compare)
+	s.tokens = slices.Insert(s.tokens, i, until)
 }
 
 // Denied returns how long it is until the owner may have tokens again, 0 if it is to be asked.
@@ -179,8 +183,9 @@
 // Add takes in the owner's answer to a question sent at the time asked.
 func (s *Stock) Add(asked, now time.Time, granted int, after time.Duration) {
 	if granted > 0 {
-		s.tokens += granted
-		s.expires = asked.Add(TokenTime)
+		for range granted {
+			s.Return(now, asked.Add(TokenTime))
+		}
 		return
 	}
 	s.denied = now.Add(after)
--- a/core/guavaquota/ledger_test.go
+++ b/core/guavaquota/ledger_test.go
@@ -150,10 +150,10 @@
 func TestStock(t *testing.T) {
 	var s guavaquota.Stock
 	s.Add(epoch, epoch.Add(10*time.Millisecond), 2, 0)
-	if !s.Use(epoch.Add(20 * time.Millisecond)) {
+	if _, ok := s.Use(epoch.Add(20 * time.Millisecond)); !ok {
 		t.Error("a token cannot be used")
 	}
-	if s.Use(epoch.Add(guavaquota.TokenTime + time.Millisecond)) {
+	if _, ok := s.Use(epoch.Add(guavaquota.TokenTime + time.Millisecond)); ok {
 		t.Error("an expired token was used")
 	}
 	s.Add(epoch, epoch, 0, 100*time.Millisecond)
@@ -163,20 +163,30 @@
 }
 
 // TestReturnedToken guards against an account whose rate is used up by requests that were refused before they ran, and
-// against returned tokens that outlive the others.
+// against returned tokens that outlive the time for which they were given, also where others have come since.
 func TestReturnedToken(t *testing.T) {
 	var s guavaquota.Stock
 	s.Add(epoch, epoch.Add(10*time.Millisecond), 1, 0)
+	var until time.Time
 	for i := range 5 {
 		now := epoch.Add(time.Duration(20*i) * time.Millisecond)
-		if !s.Use(now) {
+		var ok bool
+		if until, ok = s.Use(now); !ok {
 			t.Fatalf("request %d gets no token although none has run", i)
 		}
-		s.Return(now.Add(10 * time.Millisecond))
+		if i < 4 {
+			s.Return(now.Add(10*time.Millisecond), until)
+		}
 	}
+	later := epoch.Add(guavaquota.TokenTime - 50*time.Millisecond)
+	s.Add(later, later, 1, 0)
+	s.Return(later, until)
 	late := epoch.Add(guavaquota.TokenTime + time.Millisecond)
-	s.Return(late)
-	if s.Use(late) {
+	s.Return(late, until)
+	if _, ok := s.Use(late); !ok {
+		t.Error("the newer token is lost")
+	}
+	if _, ok := s.Use(late); ok {
 		t.Error("a token that was returned outlived its time")
 	}
 }
@@ -253,3 +263,48 @@
 		})
 	}
 }
+
+// TestReturnedTokensInOverload guards against an account that gets more than it may in a window, because the tokens of requests
+// that waited for long and were refused are used after an overload, beside those given out then.
+func TestReturnedTokensInOverload(t *testing.T) {
+	const (
+		patience = 1500 * time.Millisecond
+		overload = 8 * time.Second
+		length   = 20 * time.Second
+	)
+	for _, a := range []guavatraffic.Account{{Name: "usual", Rate: 40, Burst: 20}, {Name: "large", Rate: 300, Burst: 300}} {
+		t.Run(a.Name, func(t *testing.T) {
+			ledger := guavaquota.NewLedger(tolerance)
+			ledger.Take(epoch.Add(-time.Minute), a, 1)
+			var s guavaquota.Stock
+			type refusal struct {
+				at    time.Time
+				until time.Time
+			}
+			var refusals []refusal
+			var runs []time.Time
+			for now := epoch; now.Before(epoch.Add(length)); now = now.Add(2 * time.Millisecond) {
+				for len(refusals) > 0 && !now.Before(refusals[0].at) {
+					s.Return(now, refusals[0].until)
+					refusals = refusals[1:]
+				}
+				until, ok := s.Use(now)
+				if !ok && s.Denied(now) == 0 {
+					granted, after := ledger.Take(now, a, max(s.Want(1), 1))
+					s.Add(now, now, granted, after)
+					until, ok = s.Use(now)
+				}
+				switch {
+				case !ok:
+				case now.Sub(epoch) < overload:
+					refusals = append(refusals, refusal{at: now.Add(patience), until: until})
+				default:
+					runs = append(runs, now)
+				}
+			}
+			if n := busiest(runs); float64(n) > most(a) {
+				t.Errorf("%d requests in a window, at most %v are allowed", n, most(a))
+			}
+		})
+	}
+}
--- a/io/guavacoord/tokens.go
+++ b/io/guavacoord/tokens.go
@@ -22,8 +22,14 @@
 	adoptTime = 400 * time.Millisecond
 )
 
+// Token is the permission to run one request of a client account.
+type Token struct {
+	account string
+	until   time.Time
+}
+
 // Token takes a token of a client account. It returns whether there was one, and otherwise when to come back.
-func (c *Client) Token(ctx context.Context, account string) (ok bool, after time.Duration) {
+func (c *Client) Token(ctx context.Context, account string) (t Token, ok bool, after time.Duration) {
 	c.settle(ctx, groupKey(guavaquota.Group(account)))
 	c.mu.Lock()
 	s := c.stocks[account]
@@ -33,13 +39,13 @@
 	}
 	for range tries {
 		now := time.Now()
-		if s.Use(now) {
+		if until, ok := s.Use(now); ok {
 			c.mu.Unlock()
-			return true, 0
+			return Token{account: account, until: until}, true, 0
 		}
 		if d := s.Denied(now); d > 0 {
 			c.mu.Unlock()
-			return false, max(d, leastDenied)
+			return Token{}, false, max(d, leastDenied)
 		}
 		if !s.asking {
 			s.asking = true
@@ -59,15 +65,15 @@
 		}
 	}
 	c.mu.Unlock()
-	return false, suspectTime
+	return Token{}, false, suspectTime
 }
 
 // Return takes back the token of a request that has not run and never will.
-func (c *Client) Return(account string) {
+func (c *Client) Return(t Token) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.stocks[account]; s != nil {
-		s.Return(time.Now())
+	if s := c.stocks[t.account]; s != nil {
+		s.Return(time.Now(), t.until)
 	}
 }
 
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -71,7 +71,7 @@
 	tries     int
 	waited    time.Duration
 	server    string
-	token     bool // holds a token of the account's rate
+	token     guavacoord.Token // of the account's rate, if it has one
 }
 
 // serve answers the request, or leaves a stream behind that does.
@@ -191,13 +191,14 @@
 func (c *call) limitAndDispatch() bool {
 	g := c.gate
 	if a := c.config.Accounts[c.account]; a.Rate > 0 {
-		if ok, after := g.Admission.Token(c.run, c.account); !ok {
+		token, ok, after := g.Admission.Token(c.run, c.account)
+		if !ok {
 			g.Counters.Limited.Add(1)
 			c.refuse(fasthttp.StatusTooManyRequests, after, "rate")
 			return false
 		}
 		g.Counters.Tokens.Add(1)
-		c.token = true
+		c.token = token
 	}
 	c.service = c.route.Service(c.request.ID)
 	// The server may use the context again for its own ends while a stream is still being passed on.
@@ -395,9 +396,7 @@
 // refuse answers that the request has not run.
 func (c *call) refuse(status int, after time.Duration, reason string) {
 	c.gate.Counters.Refused.Add(1)
-	if c.token {
-		c.gate.Admission.Return(c.account)
-	}
+	c.gate.Admission.Return(c.token)
 	c.ctx.SetStatusCode(status)
 	c.gate.Wire.Retry(&c.ctx.Response.Header, after)
 	c.log("refused", "status", status, "cause", reason, "after", after.Milliseconds())
--- a/io/guavagate/gate.go
+++ b/io/guavagate/gate.go
@@ -21,9 +21,9 @@
 // Admission gives out places on servers and tokens of rates.
 type Admission interface {
 	Acquire(ctx context.Context, service string, r guavaplace.Request) (*guavacoord.Place, error)
-	Token(ctx context.Context, account string) (ok bool, after time.Duration)
-	// Return takes back the token of a request that has not run and never will.
-	Return(account string)
+	Token(ctx context.Context, account string) (t guavacoord.Token, ok bool, after time.Duration)
+	// Return takes back the token of a request that has not run and never will. That of a request without one does nothing.
+	Return(t guavacoord.Token)
 }
 
 // Jobs serves the operations on batch jobs.
