Make calls of the store that only refuses, and judge it by calls that were given their time

Cause: found on reading the change again. The single probe with its pause, meant for a store that is silent, also held back calls of one that refuses at once: of three reads in a row one was made, and the first read after the store's return failed although nothing was wrong. And a caller that gave up counted as a failure of the store, which sent all calls of the VM through others for a second. Change: only a call that got no answer makes the next ones take turns; a call whose caller gave up counts for nothing. One generic function replaces closures that set the results of the function around them.

--- a/io/guavafallback/store.go
+++ b/io/guavafallback/store.go
@@ -23,7 +23,7 @@
 	directTime = 400 * time.Millisecond
 	// badTime is how long after a failed direct call other VMs are asked first.
 	badTime = time.Second
-	// probePause is the wait between direct calls while they fail: what a store that is back stays unnoticed at most.
+	// probePause is the wait between direct calls while the store is silent: what its return stays unnoticed at most.
 	probePause = 200 * time.Millisecond
 	// sources is the number of VMs that are tried for a call.
 	sources = 3
@@ -43,9 +43,10 @@
 	mu      sync.Mutex
 	bad     time.Time            // until when direct calls count as failing
 	good    time.Time            // until when they count as served, after one that was
+	silent  bool                 // the last direct call got no answer, rather than a refusal
 	probing bool                 // a direct call is under way although they count as failing
 	probe   time.Time            // when the next such call may be made
-	silent  map[string]time.Time // until when VMs are not asked, by name
+	mute    map[string]time.Time // until when VMs are not asked, by name
 	number  uint64
 	waiting map[uint64]chan reply
 }
@@ -58,7 +59,7 @@
 ) *Store {
 	return &Store{
 		Log: table, Objects: objects, lost: lost, links: links, logger: logger,
-		serving: make(chan struct{}, concurrent), waiting: map[uint64]chan reply{}, silent: map[string]time.Time{},
+		serving: make(chan struct{}, concurrent), waiting: map[uint64]chan reply{}, mute: map[string]time.Time{},
 	}
 }
 
@@ -71,32 +72,36 @@
 	return !good && (bad || s.lost())
 }
 
-// direct bounds a direct call while there are other VMs to turn to.
-func (s *Store) direct(ctx context.Context) (context.Context, context.CancelFunc) {
+// bound bounds a direct call while there are other VMs to turn to.
+func (s *Store) bound(ctx context.Context) (context.Context, context.CancelFunc) {
 	if len(s.links(1)) == 0 {
 		return ctx, func() {}
 	}
 	return context.WithTimeout(ctx, directTime)
 }
 
-// note takes in how a direct call went.
-func (s *Store) note(err error) {
+// note takes in how a direct call went that began at a time. One whose caller gave up says nothing about the store.
+func (s *Store) note(ctx context.Context, began time.Time, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	until := time.Now().Add(badTime)
+	now := time.Now()
 	if errors.Is(err, guavaplatform.ErrUnavailable) || errors.Is(err, guavaplatform.ErrUnknown) {
-		s.bad, s.good = until, time.Time{}
+		s.bad, s.good = now.Add(badTime), time.Time{}
+		s.silent = now.Sub(began) >= directTime
 		return
 	}
-	s.bad, s.good = time.Time{}, until
+	s.bad, s.good, s.silent = time.Time{}, now.Add(badTime), false
 }
 
-// beginProbe reports whether a direct call may be made although they count as failing: one at a time, with a pause after
-// each, so that an outage does not make every caller wait for the store's silence.
+// beginProbe reports whether a direct call may be made although they count as failing. While the store is silent that is one
+// at a time, with a pause after each, so that an outage does not make every caller wait for it.
 func (s *Store) beginProbe() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.probing || time.Now().Before(s.probe) {
+	if s.silent && (s.probing || time.Now().Before(s.probe)) {
 		return false
 	}
 	s.probing = true
@@ -109,29 +114,31 @@
 	s.probing, s.probe = false, time.Now().Add(probePause)
 }
 
-// through makes a call: directly unless that is expected to fail, then through other VMs, and directly as the last resort,
-// since the store may be back before anything shows it. Final reports whether a direct call's outcome stands.
-func through(
-	ctx context.Context, s *Store, direct func(ctx context.Context) error, final func(err error) bool,
-	ask func(ctx context.Context) error,
-) error {
+// way is one of the ways to make a call.
+type way[T any] func(ctx context.Context) (T, error)
+
+// call makes a call: directly unless that is expected to fail, then through other VMs, and directly as the last resort, since
+// the store may be back before anything shows it. Final reports whether the outcome of the first direct call stands.
+func call[T any](ctx context.Context, s *Store, direct way[T], final func(err error) bool, ask way[T]) (T, error) {
 	if !s.failing() {
-		short, stop := s.direct(ctx)
-		err := direct(short)
+		short, stop := s.bound(ctx)
+		began := time.Now()
+		v, err := direct(short)
 		stop()
-		s.note(err)
+		s.note(ctx, began, err)
 		if final(err) {
-			return err
+			return v, err
 		}
 	}
-	err := ask(ctx)
+	v, err := ask(ctx)
 	if !errors.Is(err, guavaplatform.ErrUnavailable) || !s.beginProbe() {
-		return err
+		return v, err
 	}
 	defer s.endProbe()
-	err = direct(ctx)
-	s.note(err)
-	return err
+	began := time.Now()
+	v, err = direct(ctx)
+	s.note(ctx, began, err)
+	return v, err
 }
 
 // isKnown reports whether a call that changes nothing, or the same however often it is made, needs no other way.
@@ -144,16 +151,13 @@
 // the checks of a repeated one show.
 func (s *Store) CommitAt(
 	ctx context.Context, checks []guavaplatform.Check, writes []guavaplatform.Write,
-) (revision uint64, err error) {
-	err = through(ctx, s, func(ctx context.Context) error {
-		revision, err = s.Log.CommitAt(ctx, checks, writes)
-		return err //nolint:wrapcheck // as the store says it
-	}, isDecided, func(ctx context.Context) error {
+) (uint64, error) {
+	return call(ctx, s, func(ctx context.Context) (uint64, error) {
+		return s.Log.CommitAt(ctx, checks, writes) //nolint:wrapcheck // as the store says it
+	}, isDecided, func(ctx context.Context) (uint64, error) {
 		r, err := s.ask(ctx, request{Operation: opCommit, Checks: checks, Writes: writes})
-		revision = r.Revision
-		return err
+		return r.Revision, err
 	})
-	return revision, err
 }
 
 // Commit implements guavaplatform.Table.
@@ -163,34 +167,29 @@
 }
 
 // Read implements guavaplatform.Table.
-func (s *Store) Read(ctx context.Context, key string) (row guavaplatform.Row, err error) {
-	err = through(ctx, s, func(ctx context.Context) error {
-		row, err = s.Log.Read(ctx, key)
-		return err //nolint:wrapcheck // as the store says it
-	}, isKnown, func(ctx context.Context) error {
+func (s *Store) Read(ctx context.Context, key string) (guavaplatform.Row, error) {
+	return call(ctx, s, func(ctx context.Context) (guavaplatform.Row, error) {
+		return s.Log.Read(ctx, key) //nolint:wrapcheck // as the store says it
+	}, isKnown, func(ctx context.Context) (guavaplatform.Row, error) {
 		r, err := s.ask(ctx, request{Operation: opRead, Key: key})
 		if err == nil && len(r.Rows) != 1 {
-			return fmt.Errorf("read %s: %d rows: %w", key, len(r.Rows), guavaplatform.ErrUnavailable)
+			err = fmt.Errorf("read %s: %d rows: %w", key, len(r.Rows), guavaplatform.ErrUnavailable)
 		}
-		if err == nil {
-			row = r.Rows[0]
+		if err != nil {
+			return guavaplatform.Row{}, err
 		}
-		return err
+		return r.Rows[0], nil
 	})
-	return row, err
 }
 
 // Scan implements guavaplatform.Table.
-func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) (rows []guavaplatform.Row, err error) {
-	err = through(ctx, s, func(ctx context.Context) error {
-		rows, err = s.Log.Scan(ctx, prefix, after, limit)
-		return err //nolint:wrapcheck // as the store says it
-	}, isKnown, func(ctx context.Context) error {
+func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]guavaplatform.Row, error) {
+	return call(ctx, s, func(ctx context.Context) ([]guavaplatform.Row, error) {
+		return s.Log.Scan(ctx, prefix, after, limit) //nolint:wrapcheck // as the store says it
+	}, isKnown, func(ctx context.Context) ([]guavaplatform.Row, error) {
 		r, err := s.ask(ctx, request{Operation: opScan, Key: prefix, After: after, Limit: limit})
-		rows = r.Rows
-		return err
+		return r.Rows, err
 	})
-	return rows, err
 }
 
 // Put implements guavaplatform.Objects.
@@ -199,25 +198,26 @@
 	if err != nil {
 		return fmt.Errorf("put %s: read body: %w", key, err)
 	}
-	return through(ctx, s, func(ctx context.Context) error {
-		return s.Objects.Put(ctx, key, bytes.NewReader(data)) //nolint:wrapcheck // as the store says it
-	}, isKnown, func(ctx context.Context) error {
+	_, err = call(ctx, s, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, s.Objects.Put(ctx, key, bytes.NewReader(data)) //nolint:wrapcheck // as the store says it
+	}, isKnown, func(ctx context.Context) (struct{}, error) {
 		_, err := s.ask(ctx, request{Operation: opPut, Key: key, Body: data})
-		return err
+		return struct{}{}, err
 	})
+	return err
 }
 
 // Get implements guavaplatform.Objects.
-func (s *Store) Get(ctx context.Context, key string) (body io.ReadCloser, err error) {
-	err = through(ctx, s, func(ctx context.Context) error {
-		body, err = s.Objects.Get(ctx, key)
-		return err //nolint:wrapcheck // as the store says it
-	}, isKnown, func(ctx context.Context) error {
+func (s *Store) Get(ctx context.Context, key string) (io.ReadCloser, error) {
+	return call(ctx, s, func(ctx context.Context) (io.ReadCloser, error) {
+		return s.Objects.Get(ctx, key) //nolint:wrapcheck // as the store says it
+	}, isKnown, func(ctx context.Context) (io.ReadCloser, error) {
 		r, err := s.ask(ctx, request{Operation: opGet, Key: key})
-		body = io.NopCloser(bytes.NewReader(r.Body))
-		return err
+		if err != nil {
+			return nil, err
+		}
+		return io.NopCloser(bytes.NewReader(r.Body)), nil
 	})
-	return body, err
 }
 
 // ask makes a call through another VM. ErrUnavailable means that none could make it.
@@ -225,9 +225,9 @@
 	last := fmt.Errorf("no other VM to call the store through: %w", guavaplatform.ErrUnavailable)
 	for _, l := range s.links(sources) {
 		s.mu.Lock()
-		silent := time.Now().Before(s.silent[l.Peer.Name])
+		mute := time.Now().Before(s.mute[l.Peer.Name])
 		s.mu.Unlock()
-		if silent {
+		if mute {
 			continue
 		}
 		r, err := s.askOne(ctx, l, q)
@@ -263,7 +263,7 @@
 		return r, fmt.Errorf("%s through %s: %w", q.Operation, l.Peer.Name, outcomes[r.Outcome])
 	case <-timer.C:
 		s.mu.Lock()
-		s.silent[l.Peer.Name] = time.Now().Add(badTime)
+		s.mute[l.Peer.Name] = time.Now().Add(badTime)
 		s.mu.Unlock()
 	case <-ctx.Done():
 	}
@@ -310,6 +310,7 @@
 	// The VM that asks waits somewhat longer.
 	ctx, stop := context.WithTimeout(context.Background(), directTime)
 	defer stop()
+	began := time.Now()
 	var err error
 	switch q.Operation {
 	case opCommit:
@@ -327,7 +328,7 @@
 	default:
 		err = fmt.Errorf("operation %q: %w", q.Operation, guavaplatform.ErrUnavailable)
 	}
-	s.note(err)
+	s.note(context.Background(), began, err) // the bound is this VM's own
 	r.Outcome = outcomeOf(err)
 	return r
 }
