Send repeatable requests again on a new connection where exchanges are made

Forgotten connections were mended for batch items alone, by a flag of the item; online requests that met them still counted against the server, were taken for crashing requests, and failed: in a test, streams and plain requests are answered 503 after some resets, although all servers are well. Change: guavasend sends a repeatable request once more on a new connection if a used one breaks within 100 ms before an answer begins. A server that has crashed accepts none, so a request that crashes servers is known as before. The item's flag is gone.

--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -327,7 +327,7 @@
 	report := time.AfterFunc(c.silent(), func() { place.Release(guavaplace.Silent, 0) })
 	defer report.Stop()
 	if c.route.Repeatable() {
-		r.Idle, r.Quiet = idleMore, c.silent()
+		r.Idle, r.Quiet, r.Repeatable = idleMore, c.silent(), true
 	}
 	return c.gate.Sender.Send(c.run, r) //nolint:wrapcheck // sendFailed takes it apart
 }
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -58,8 +58,6 @@
 	number int // of the item in its job
 	item   guavaprogress.Item
 	avoid  []string
-	// fresh makes the item use new connections, after a used one broke under it.
-	fresh bool
 
 	mu       sync.Mutex // guards changes to progress against save
 	progress *guavaprogress.Progress
@@ -247,12 +245,9 @@
 	l.Wire.Prepare(&q.Header, guavagate.Outgoing{
 		Server: place.Server, Account: j.Account, Left: time.Until(retained), Received: r.progress.Last(),
 	})
-	idle := idleConnection
-	if r.fresh {
-		idle = 0
-	}
 	return l.Sender.Send(ctx, guavasend.Request{ //nolint:wrapcheck // failed takes it apart
-		Address: place.Address, ID: r.item.ID, IDHeader: l.Wire.IDHeader(), Message: q, Idle: idle, Quiet: quietTime,
+		Address: place.Address, ID: r.item.ID, IDHeader: l.Wire.IDHeader(), Message: q, Idle: idleConnection,
+		Quiet: quietTime, Repeatable: true,
 	})
 }
 
@@ -304,12 +299,6 @@
 		place.Release(guavaplace.Unreachable, 0)
 		r.avoid = []string{place.Server}
 		return guavaprogress.Again, ""
-	case failure != nil && failure.Stale && !r.fresh:
-		// A server that forgets idle connections looks like one that the item crashes. On a new one they differ.
-		place.Release(guavaplace.Cancelled, 0)
-		r.fresh = true
-		r.logEnd(r.runner.job, place, "stale", err.Error())
-		return guavaprogress.Again, ""
 	case failure != nil && failure.Quiet:
 		place.Release(guavaplace.Silent, 0)
 	default:
--- a/io/guavasend/sender.go
+++ b/io/guavasend/sender.go
@@ -21,6 +21,9 @@
 	largeBody = 8 << 10
 	// foreignAnswers is the number of answers to other requests that are passed over on one connection.
 	foreignAnswers = 3
+	// resetTime is the time within which the reset of a forgotten connection arrives: a round trip between regions. What
+	// breaks later may have been worked on.
+	resetTime = 100 * time.Millisecond
 )
 
 // Error is a failed exchange.
@@ -29,9 +32,6 @@
 	Sent bool
 	// Quiet reports whether the server sent nothing in the time given.
 	Quiet bool
-	// Stale reports whether the request went out on a connection that had been idle and that broke before an answer began:
-	// the server may have closed it without the request.
-	Stale bool
 	Err   error
 }
 
@@ -48,8 +48,10 @@
 	ID       string
 	IDHeader string
 	Message  *fasthttp.Request
-	// Idle bounds how long a connection that is used again may have been idle; 0 asks for a new connection.
+	// Idle bounds how long a connection that is used again may have been idle.
 	Idle time.Duration
+	// Repeatable requests are sent once more, on a new connection, when a used one breaks before an answer begins.
+	Repeatable bool
 	// Quiet bounds the wait for the head of the answer, 0 for no bound.
 	Quiet time.Duration
 }
@@ -74,34 +76,54 @@
 
 // Send sends a request and reads the head of its answer. The end of ctx closes the connection, until the exchange is
 // finished or closed. The error is an *Error.
+//
+// Servers may drop idle connections without notice and reset what comes on them. That looks like a server which the request
+// has crashed, but the former accepts a new connection at once.
 func (s *Sender) Send(ctx context.Context, r Request) (*Exchange, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Err: context.Cause(ctx)}
 	}
-	c, err := s.connect(ctx, r)
+	c, err := s.pool.ConnectWithin(ctx, r.Address, r.Idle)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
-	x := &Exchange{sender: s, address: r.Address, conn: c, written: make(chan error, 1)}
-	x.stop = context.AfterFunc(ctx, func() { c.Close() })
-	if err := x.begin(r); err != nil {
-		sent := len(r.Message.Body()) > largeBody || c.Written > 0
-		x.Close()
-		var timeout interface{ Timeout() bool }
-		quiet := errors.As(err, &timeout) && timeout.Timeout()
-		if ctx.Err() != nil {
-			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
-		}
-		return nil, &Error{Sent: sent, Quiet: quiet, Stale: c.Reused && !quiet, Err: err}
+	used, began := c.Reused, time.Now()
+	x, failure := s.exchange(ctx, c, r)
+	if failure == nil {
+		return x, nil
+	}
+	if !used || !r.Repeatable || failure.Quiet || ctx.Err() != nil || time.Since(began) > resetTime {
+		return nil, failure
+	}
+	if c, err = s.pool.Open(ctx, r.Address); err != nil {
+		return nil, failure // the server is gone, possibly by this request
+	}
+	if x, failure = s.exchange(ctx, c, r); failure != nil {
+		failure.Sent = true // the first time at least
+		return nil, failure
 	}
 	return x, nil
 }
 
-func (s *Sender) connect(ctx context.Context, r Request) (*guavapool.Connection, error) {
-	if r.Idle <= 0 {
-		return s.pool.Open(ctx, r.Address) //nolint:wrapcheck // it names the server
+// exchange sends a request on a connection and reads the head of its answer.
+func (s *Sender) exchange(ctx context.Context, c *guavapool.Connection, r Request) (*Exchange, *Error) {
+	x := &Exchange{sender: s, address: r.Address, conn: c, written: make(chan error, 1)}
+	x.stop = context.AfterFunc(ctx, func() { c.Close() })
+	err := x.begin(r)
+	if err == nil {
+		return x, nil
+	}
+	sent := len(r.Message.Body()) > largeBody || c.Written > 0
+	x.Close()
+	if len(r.Message.Body()) > largeBody {
+		<-x.written // the message may be sent again
+	}
+	var timeout interface{ Timeout() bool }
+	quiet := errors.As(err, &timeout) && timeout.Timeout()
+	if ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 	}
-	return s.pool.ConnectWithin(ctx, r.Address, r.Idle) //nolint:wrapcheck // likewise
+	return nil, &Error{Sent: sent, Quiet: quiet, Err: err}
 }
 
 func (x *Exchange) begin(r Request) error {
