--- a/io/guavabatch/schedule.go
+++ b/io/guavabatch/schedule.go
@@ -105,7 +105,8 @@
 			server, ok := snapshot.Server(g.Server)
 			return ok && fits(server, h.route, h.model)
 		}
-		if h.served.IsZero() || r.streamsOf(h) || slices.ContainsFunc(grants, serves) {
+		// Streams are looked for last: in the usual case a grant answers.
+		if h.served.IsZero() || slices.ContainsFunc(grants, serves) || r.hasStreams(h) {
 			h.served = now
 		}
 		if now.Sub(h.served) < strandedTime {
@@ -121,8 +122,8 @@
 	}
 }
 
-// streamsOf reports whether items of a chunk are being run.
-func (r *Runner) streamsOf(h *hold) bool {
+// hasStreams reports whether items of a chunk are being run.
+func (r *Runner) hasStreams(h *hold) bool {
 	for _, streams := range r.streams {
 		for s := range streams {
 			if s.work.hold == h {
--- a/io/guavaedge/copies.go
+++ b/io/guavaedge/copies.go
@@ -226,14 +226,7 @@
 
 // run asks for copies of tables that the store does not tell about, until ctx ends.
 func (c *copies) run(ctx context.Context) {
-	tick := time.NewTicker(copyTime)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+	for range every(ctx, copyTime) {
 		c.beacon(time.Now())
 		for table, f := range c.followers {
 			if f.Failing(time.Now()) < copyAfter {
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -310,14 +310,7 @@
 
 // watch follows the state of the store.
 func (e *Edge) watch(ctx context.Context) {
-	tick := time.NewTicker(watchTime)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+	for range every(ctx, watchTime) {
 		if e.servers.Failing(time.Now()) > 0 {
 			e.registry.trouble()
 		}
