Keep the error of a first write beside that of its exchange

Cause: findings of the linter on a receive whose value was dropped. Change: both errors are passed on.

--- a/io/guavasend/sender.go
+++ b/io/guavasend/sender.go
@@ -116,7 +116,7 @@
 	sent := len(r.Message.Body()) > largeBody || c.Written > 0
 	x.Close()
 	if len(r.Message.Body()) > largeBody {
-		_ = <-x.written // the message may be sent again; err says why this exchange failed
+		err = errors.Join(err, <-x.written) // the message may be sent again, so its first write must have ended
 	}
 	var timeout interface{ Timeout() bool }
 	quiet := errors.As(err, &timeout) && timeout.Timeout()
