Limit the tokens that an account may have waiting on a batch route

Cause: the route's limit of waiting tokens was not decoded, so every job was accepted.

Change: core/guavabacklog decides from a copy of the jobs table and from the reservations of the last 20 s, which stand in one row for each account and route. A VM adds its job to that row by a conditional write before it creates the job's row; a job sent again counts once; a VM whose copy is over 5 s old refuses with 503. Tokens come back with results, which the job's row counts, and when a job ends. 429 carries the time in which the account's jobs give back what is missing.

Considered: a transaction over the rows of the job and of the account (needs transactions across parts, and an update at each commit of results); a share for each VM (refuses jobs within the limit).

Tests: TestDecide, TestNeverOverLimit (3 VMs, copies up to 5 s old, VMs that fail before the job is created), TestWaitingTokens and TestWaitingTokensAfterFailures; the last two failed before (9 of 9 jobs accepted at a limit for 2).

--- a/core/guavaprogress/job.go
+++ b/core/guavaprogress/job.go
@@ -18,6 +18,8 @@
 	Total   int    `json:"total"`
 	// ResultCount is the number of results; they have the positions 0 to ResultCount-1.
 	ResultCount int `json:"listed"`
+	// WaitingTokens is the sum of Item.Tokens over the items without a result.
+	WaitingTokens int `json:"tokens,omitempty"`
 	// Ended is true when the client ended the job.
 	Ended bool `json:"ended,omitempty"`
 	// Owner is the VM that runs the job, and Incarnation identifies its process. Any VM may take over a job without owner.
@@ -48,9 +50,10 @@
 	return j
 }
 
-// WithResults returns the job with more results, closed when it has all.
-func (j Job) WithResults(more int, now time.Time) Job {
+// WithResults returns the job with more results, whose items have the given tokens. It is closed when it has all.
+func (j Job) WithResults(more, tokens int, now time.Time) Job {
 	j.ResultCount += more
+	j.WaitingTokens = max(j.WaitingTokens-tokens, 0)
 	if j.ResultCount >= j.Total && j.ClosedAt == 0 {
 		j.ClosedAt = now.UnixMilli()
 	}
--- a/core/guavaprogress/job_test.go
+++ b/core/guavaprogress/job_test.go
@@ -69,11 +69,11 @@
 	if !j.IsOpen() || !j.IsOwnedBy("v", 7) || j.IsOwnedBy("v", 8) || j.IsOwnedBy("w", 7) {
 		t.Errorf("new job: %+v", j)
 	}
-	j = j.WithResults(2, now)
+	j = j.WithResults(2, 200, now)
 	if !j.IsOpen() || j.ClosedAt != 0 {
 		t.Errorf("with two of three results: %+v", j)
 	}
-	j = j.WithResults(1, now)
+	j = j.WithResults(1, 100, now)
 	if j.IsOpen() || j.ClosedAt != now.UnixMilli() {
 		t.Errorf("with all results: %+v", j)
 	}
--- a/core/guavatraffic/types.go
+++ b/core/guavatraffic/types.go
@@ -36,6 +36,9 @@
 	CompletionTarget time.Duration
 	// Retention is the time from a job's first submission after which its items may be abandoned.
 	Retention time.Duration
+	// WaitingTokens is the maximum number of tokens that an account may have waiting on a batch route, over all VMs; 0 for
+	// no limit.
+	WaitingTokens int
 	// Attempts is the maximum number of servers on which one request may be executed.
 	Attempts int
 	// Open routes accept requests without a key.
--- a/io/guavaedge/metrics.go
+++ b/io/guavaedge/metrics.go
@@ -94,6 +94,8 @@
 		{"guavaridge_connections_rejected", "connections over the limit", &g.Rejected},
 		{"guavaridge_jobs", "jobs that this VM began to run", &l.Jobs},
 		{"guavaridge_jobs_adopted", "jobs taken over from other VMs", &l.Adopted},
+		{"guavaridge_jobs_refused", "jobs refused because the store or this VM could not accept them", &l.Refused},
+		{"guavaridge_jobs_over_limit", "jobs refused beyond the waiting tokens of their account", &l.OverLimit},
 		{"guavaridge_items_succeeded", "items listed with their text", &l.Succeeded},
 		{"guavaridge_items_dead", "items given up", &l.Dead},
 		{"guavaridge_items_yielded", "runs that gave way to online requests", &l.Yields},
--- a/io/guavajobs/index.go
+++ b/io/guavajobs/index.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"guavaridge/core/guavabacklog"
 	"guavaridge/core/guavaprogress"
 	"guavaridge/io/guavaplatform"
 )
@@ -18,6 +19,7 @@
 	TableJobs    = "jobs"
 	tableResults = "results"
 	tableSaved   = "saved"
+	tableBacklog = "backlog"
 )
 
 // shardCount is the number of partitions of the jobs table. A partition handles a few hundred commits/s.
@@ -44,6 +46,11 @@
 	return fmt.Sprintf("%s/%s/%s.%06d", tableSaved, shard(id), id, item)
 }
 
+func backlogKey(account, route string) string {
+	name := fmt.Sprintf("%016x", xxhash.Sum64String(account+"\x00"+route))
+	return tableBacklog + "/" + shard(name) + "/" + name
+}
+
 func objectName(id string) string { return "job-" + id }
 
 func textName(id string, position int) string { return fmt.Sprintf("text-%s-%06d", id, position) }
@@ -175,3 +182,21 @@
 	}
 	return list
 }
+
+// of returns the jobs of an account and route, with the tokens that wait.
+func (b *jobIndex) of(account, route string) []guavabacklog.Job {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []guavabacklog.Job
+	for _, e := range b.jobs {
+		if e.job.Account != account || e.job.Route != route {
+			continue
+		}
+		j := guavabacklog.Job{ID: e.job.ID, Deadline: time.UnixMilli(e.job.Deadline)}
+		if e.job.IsOpen() {
+			j.Waiting = e.job.WaitingTokens
+		}
+		list = append(list, j)
+	}
+	return list
+}
--- a/io/guavajobs/jobs.go
+++ b/io/guavajobs/jobs.go
@@ -66,6 +66,9 @@
 // Counters counts events of Jobs. The fields may be read concurrently.
 type Counters struct {
 	Jobs, Adopted, Succeeded, Dead, Yields, Resumed atomic.Uint64
+	// Refused counts submissions that were refused without a decision, and OverLimit those beyond the waiting tokens of
+	// their account.
+	Refused, OverLimit atomic.Uint64
 }
 
 // Jobs runs the batch jobs that a VM owns and serves the batch API. Its methods may be called concurrently.
--- a/io/guavajobs/runner.go
+++ b/io/guavajobs/runner.go
@@ -140,7 +140,7 @@
 		writes, err := r.resultWrites(e.job, batch)
 		if err == nil {
 			var next entry
-			next, err = l.write(r.ctx, e, e.job.WithResults(len(batch), time.Now()), writes...)
+			next, err = l.write(r.ctx, e, e.job.WithResults(len(batch), r.tokens(batch), time.Now()), writes...)
 			if err == nil {
 				r.setEntry(next)
 				r.removeCompleted(batch)
@@ -174,6 +174,19 @@
 	return true
 }
 
+// tokens returns the tokens of the items of a batch of results.
+func (r *runner) tokens(batch []guavaprogress.Result) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := 0
+	for _, b := range batch {
+		if i := r.active[b.ID]; i != nil {
+			sum += i.item.Tokens
+		}
+	}
+	return sum
+}
+
 func (r *runner) setEntry(e entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/io/guavajobs/submit.go
+++ b/io/guavajobs/submit.go
@@ -44,21 +44,38 @@
 		l.refuse(w, r.ID, errors.New("draining"))
 		return
 	}
+	tokens := 0
+	for _, i := range items {
+		tokens += i.Tokens
+	}
 	now := time.Now()
 	j := guavaprogress.Job{
 		ID: r.ID, Account: account, Route: route.Name, Service: route.Service(r.ID), Host: r.Host, Total: len(items),
-		Accepted: now.UnixMilli(), Deadline: now.Add(route.CompletionTarget).UnixMilli(),
+		WaitingTokens: tokens, Accepted: now.UnixMilli(), Deadline: now.Add(route.CompletionTarget).UnixMilli(),
 		RetainedUntil: now.Add(route.Retention).UnixMilli(), MaxAttempts: route.Attempts,
 		Priority: l.Config().Priority(route, account),
 	}.WithOwner(l.Self.Name, l.Self.Incarnation)
 	// The job exists only once its row does. Until then, a refusal correctly states that nothing runs.
+	if limit := route.WaitingTokens; limit > 0 {
+		decision, err := l.reserve(ctx, j, limit)
+		if err != nil {
+			l.refuse(w, j.ID, err)
+			return
+		}
+		if !decision.Fits {
+			l.refuseOverLimit(w, j, limit, decision)
+			return
+		}
+	}
 	if err := l.putItems(ctx, j.ID, items); err != nil {
+		l.release(ctx, j, route.WaitingTokens)
 		l.refuse(w, j.ID, err)
 		return
 	}
 	e, err := l.create(ctx, j)
 	switch {
 	case errors.Is(err, guavaplatform.ErrUnavailable):
+		l.release(ctx, j, route.WaitingTokens)
 		l.refuse(w, j.ID, err)
 	case err != nil:
 		// The row may still be written, so the response states neither that the job was accepted nor that it was not.
@@ -83,6 +100,7 @@
 
 func (l *Jobs) refuse(w *fasthttp.RequestCtx, id string, err error) {
 	l.Logger.Info("job refused", "job", id, "error", err)
+	l.Counters.Refused.Add(1)
 	w.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	l.Protocol.SetRetryAfter(&w.Response.Header, clientRetryDelay)
 }
