Cache the takeover ranks of jobs

Cause: each VM ranked all VMs for each open job four times a second, so the cost of a VM grew with VMs and jobs, that of the fleet with VMs x VMs x jobs.

Change: the rank is counted without sorting and kept until the list of VMs changes. Announcements to the owners of rates follow their own tick only, no longer also that of the statistics. Rankings of coordinators are kept while the list of VMs is the same.

--- a/core/guavamember/rank.go
+++ b/core/guavamember/rank.go
@@ -25,3 +25,18 @@
 	}
 	return ranked
 }
+
+// Position returns the index that the VM with the given name has, or would have, in Rank of the VMs without the excluded
+// one. It does not allocate.
+func Position(key, name, excluded string, vms []Identity) int {
+	own, position := weight(key, name), 0
+	for _, v := range vms {
+		if v.Name == name || v.Name == excluded {
+			continue
+		}
+		if w := weight(key, v.Name); w > own || w == own && v.Name < name {
+			position++
+		}
+	}
+	return position
+}
--- a/io/guavacoord/client.go
+++ b/io/guavacoord/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -140,7 +141,9 @@
 	}
 	c.local.setVMs(identities)
 	c.mu.Lock()
-	c.vms, c.ranks = list, map[string][]string{}
+	if !slices.Equal(list, c.vms) {
+		c.vms, c.ranks = list, map[string][]string{}
+	}
 	c.services, c.extraPeers = services, extraPeers
 	c.mu.Unlock()
 	c.updatePeers()
@@ -154,10 +157,11 @@
 	defer startup.Stop()
 	stats := time.NewTicker(statsInterval)
 	defer stats.Stop()
+	c.announceGroups(true)
 	for {
-		c.announceGroups(true)
 		select {
 		case <-tick.C:
+			c.announceGroups(true)
 		case <-stats.C:
 			c.local.report(c.logger)
 		case <-ctx.Done():
--- a/io/guavajobs/jobs.go
+++ b/io/guavajobs/jobs.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +86,8 @@
 	runners          map[string]*runner
 	closing          bool
 	vms              map[string]guavamember.Identity
+	vmList           []guavamember.Identity
+	ranks            map[rankKey]int       // takeover ranks of this VM, valid for vmList
 	rowVersions      map[string]rowVersion // of open jobs, by job ID
 	unreachableSince map[string]time.Time  // when the job's owner was found unreachable, by job ID
 	running          sync.WaitGroup
@@ -93,7 +97,7 @@
 func New(d Dependencies) *Jobs {
 	l := &Jobs{
 		Dependencies: d, index: newJobIndex(d.Logger), runners: map[string]*runner{},
-		vms: map[string]guavamember.Identity{}, unreachableSince: map[string]time.Time{}, rowVersions: map[string]rowVersion{},
+		vms: map[string]guavamember.Identity{}, ranks: map[rankKey]int{}, unreachableSince: map[string]time.Time{}, rowVersions: map[string]rowVersion{},
 	}
 	l.baseCtx, l.stop = context.WithCancel(context.Background())
 	return l
@@ -119,8 +123,12 @@
 		vms[v.Name] = v
 	}
 	l.mu.Lock()
-	l.vms = vms
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	if maps.Equal(vms, l.vms) {
+		return
+	}
+	l.vms, l.vmList = vms, slices.Clone(list)
+	clear(l.ranks)
 }
 
 // Running returns the number of jobs that this VM runs.
--- a/io/guavajobs/jobs_test.go
+++ b/io/guavajobs/jobs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,3 +138,43 @@
 		})
 	}
 }
+
+// TestCostOfChecks guards against checks for abandoned jobs whose cost grows with the number of VMs: every VM checks
+// every open job several times a second, so that in a fleet of hundreds the checks took most of the processor time.
+func TestCostOfChecks(t *testing.T) {
+	allocated := func(vms int) uint64 {
+		var before, after runtime.MemStats
+		synctest.Test(t, func(t *testing.T) {
+			jobs := guavajobs.New(guavajobs.Dependencies{
+				Self: guavamember.Identity{Name: "vm-0", Incarnation: 1}, Codec: codec{}, Logger: hclog.NewNullLogger(),
+				Config: func() *guavatraffic.Config { return &guavatraffic.Config{} },
+				Linked: func(string) uint64 { return 1 },
+			})
+			defer jobs.Close()
+			list := make([]guavamember.Identity, 0, vms)
+			for i := range vms {
+				list = append(list, guavamember.Identity{Name: fmt.Sprintf("vm-%d", i), Incarnation: 1})
+			}
+			jobs.SetVMs(list)
+			var rows []guavaplatform.RowChange
+			for i := range 30 {
+				value, err := json.Marshal(guavaprogress.Job{ID: fmt.Sprintf("j%d", i), Total: 7, Owner: "vm-1", Incarnation: 1})
+				if err != nil {
+					t.Fatal(err)
+				}
+				rows = append(rows, guavaplatform.RowChange{Row: guavaplatform.Row{Key: fmt.Sprintf("jobs/0/j%d", i), Value: value, Revision: 20}})
+			}
+			jobs.Apply(rows, true)
+			ctx, stop := context.WithTimeout(t.Context(), 20*time.Second)
+			defer stop()
+			runtime.ReadMemStats(&before)
+			jobs.Run(ctx, func([]string) {})
+			runtime.ReadMemStats(&after)
+		})
+		return after.TotalAlloc - before.TotalAlloc
+	}
+	allocated(30) // the first run also allocates what the runtime keeps
+	if few, many := allocated(30), allocated(300); many > 2*few {
+		t.Errorf("checks of 30 jobs for 20 s allocate %d bytes with 30 VMs and %d with 300, want less than twice as much", few, many)
+	}
+}
--- a/io/guavajobs/takeover.go
+++ b/io/guavajobs/takeover.go
@@ -82,6 +82,11 @@
 			delete(l.rowVersions, id)
 		}
 	}
+	for key := range l.ranks {
+		if !open[key.job] {
+			delete(l.ranks, key)
+		}
+	}
 	l.mu.Unlock()
 	list := make([]string, 0, len(owners))
 	for vm := range owners {
@@ -117,20 +122,22 @@
 	return c.firstSeen
 }
 
-// takeoverRank returns this VM's rank among the VMs that may take over a job; 0 is the first to do so.
+// rankKey identifies the takeover rank of this VM for a job of an owner.
+type rankKey struct{ job, owner string }
+
+// takeoverRank returns this VM's rank among the VMs that may take over a job; 0 is the first to do so. Ranks are cached
+// until the list of VMs changes, since every VM checks every open job several times a second.
 func (l *Jobs) takeoverRank(id, owner string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := make([]guavamember.Identity, 0, len(l.vms))
-	for _, v := range l.vms {
-		if v.Name != owner {
-			list = append(list, v)
-		}
-	}
-	ranked := guavamember.Rank("job/"+id, list)
-	rank := slices.IndexFunc(ranked, func(v guavamember.Identity) bool { return v.Name == l.Self.Name })
-	if rank < 0 {
-		return len(ranked)
+	if _, ok := l.vms[l.Self.Name]; !ok || owner == l.Self.Name {
+		return len(l.vms)
+	}
+	key := rankKey{job: id, owner: owner}
+	rank, ok := l.ranks[key]
+	if !ok {
+		rank = guavamember.Position("job/"+id, l.Self.Name, owner, l.vmList)
+		l.ranks[key] = rank
 	}
 	return rank
 }
