Send fewer heartbeats to deciding VMs, and batch the changes of jobs

Cause: an idle VM of 98 sent 45 heartbeats a second and received 50, as both ends of each of its links sent one every 200 ms. Only the dialing VM chooses by the silence of a link. Changes of jobs went to all VMs up to 20 times a second from each of two readers.

Change: the dialing end sends a heartbeat every 600 ms and the accepting end closes after 2 s of silence instead of 1.2 s; the other direction is as before. Followers of jobs pause 200 ms after changes.

Test: TestSilence (with the old intervals the accepting VM gets 150 heartbeats in 30 s, want at most 60).

--- a/core/guavamember/rank_test.go
+++ b/core/guavamember/rank_test.go
@@ -11,7 +11,7 @@
 // TestPosition guards against a position that differs from the order of Rank, which would let two VMs take the same
 // rank.
 func TestPosition(t *testing.T) {
-	var vms []guavamember.Identity
+	vms := make([]guavamember.Identity, 0, 40)
 	for i := range 40 {
 		vms = append(vms, guavamember.Identity{Name: fmt.Sprintf("vm-%d", i)})
 	}
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -57,6 +57,9 @@
 	staleAfter = 1500 * time.Millisecond
 	// storeCheckInterval is the time between checks whether the store is available.
 	storeCheckInterval = 100 * time.Millisecond
+	// jobsBatchDelay is the pause between responses with changes of jobs, of which every VM gets all. Results that one VM
+	// has listed have to be listed by all within a second, and clients read about twice a second.
+	jobsBatchDelay = 200 * time.Millisecond
 	// drainDelay is how long a draining VM accepts connections: the load balancer needs two failed readiness probes, 1 s
 	// apart, to stop sending them.
 	drainDelay = 3300 * time.Millisecond
@@ -146,6 +149,7 @@
 	e.servers = guavaview.New(p.Store, p.ServerTable, []string{""}, guavaview.DefaultWait, e.registry.applyServers, logger)
 	e.vms = guavaview.New(p.Store, tableVMs, []string{""}, guavaview.DefaultWait, e.registry.applyVMs, logger)
 	e.jobs = guavaview.New(p.Store, guavajobs.TableJobs, guavajobs.Parts(), guavaview.DefaultWait, e.batch.Apply, logger)
+	e.jobs.SetBatchDelay(jobsBatchDelay)
 	e.replicator.followers = map[string]*guavaview.Follower{
 		p.ConfigTable: e.config, p.ServerTable: e.servers, tableVMs: e.vms, guavajobs.TableJobs: e.jobs,
 	}
--- a/io/guavajobs/jobs_test.go
+++ b/io/guavajobs/jobs_test.go
@@ -156,7 +156,7 @@
 				list = append(list, guavamember.Identity{Name: fmt.Sprintf("vm-%d", i), Incarnation: 1})
 			}
 			jobs.SetVMs(list)
-			var rows []guavaplatform.RowChange
+			rows := make([]guavaplatform.RowChange, 0, 30)
 			for i := range 30 {
 				value, err := json.Marshal(guavaprogress.Job{ID: fmt.Sprintf("j%d", i), Total: 7, Owner: "vm-1", Incarnation: 1})
 				if err != nil {
--- a/io/guavamesh/link.go
+++ b/io/guavamesh/link.go
@@ -14,10 +14,15 @@
 )
 
 const (
-	// heartbeatInterval is the interval at which an otherwise idle link sends heartbeats.
-	heartbeatInterval = 200 * time.Millisecond
-	// readTimeout is the time without a message after which a link is closed. It covers several lost heartbeats.
-	readTimeout = 1200 * time.Millisecond
+	// acceptorInterval and dialerInterval are the intervals at which the two ends of an idle link send heartbeats. The
+	// accepting VM is the one that decides, and the dialing VM turns to another one soon after it falls silent. In the
+	// other direction a silent VM only holds slots, and a deciding VM has a link from every VM of the fleet.
+	acceptorInterval = 200 * time.Millisecond
+	dialerInterval   = 600 * time.Millisecond
+	// dialerTimeout and acceptorTimeout are the times without a message after which the dialing and the accepting VM close
+	// a link. They cover several heartbeats of the other end.
+	dialerTimeout   = 1200 * time.Millisecond
+	acceptorTimeout = 2000 * time.Millisecond
 	// writeTimeout bounds one write. The link to a peer that does not read is closed.
 	writeTimeout = time.Second
 	// queueLength is the capacity of the send queue, in messages.
@@ -42,6 +47,9 @@
 	// Outgoing reports whether this VM opened the link.
 	Outgoing bool
 
+	interval    time.Duration // between heartbeats
+	readTimeout time.Duration
+
 	conn         net.Conn
 	encoder      *gob.Encoder
 	decoder      *gob.Decoder
@@ -56,8 +64,12 @@
 
 func newLink(c net.Conn, outgoing bool) *Link {
 	w := bufio.NewWriterSize(c, writeBufferSize)
+	interval, timeout := acceptorInterval, acceptorTimeout
+	if outgoing {
+		interval, timeout = dialerInterval, dialerTimeout
+	}
 	return &Link{
-		Outgoing: outgoing, conn: c, writer: w,
+		Outgoing: outgoing, interval: interval, readTimeout: timeout, conn: c, writer: w,
 		encoder: gob.NewEncoder(w), decoder: gob.NewDecoder(bufio.NewReaderSize(c, readBufferSize)),
 		queue: make(chan any, queueLength), closed: make(chan struct{}), start: time.Now(),
 	}
@@ -91,7 +103,7 @@
 
 // handshake exchanges greetings and sets Peer.
 func (l *Link) handshake(self guavamember.Identity) error {
-	if err := l.conn.SetDeadline(time.Now().Add(readTimeout)); err != nil {
+	if err := l.conn.SetDeadline(time.Now().Add(l.readTimeout)); err != nil {
 		return fmt.Errorf("set deadline: %w", err)
 	}
 	if err := l.write(greeting{VM: self}); err != nil {
@@ -122,7 +134,7 @@
 
 // writeLoop writes queued messages and heartbeats until the link closes.
 func (l *Link) writeLoop() {
-	heartbeat := time.NewTimer(heartbeatInterval)
+	heartbeat := time.NewTimer(l.interval)
 	defer heartbeat.Stop()
 	for {
 		var message any
@@ -136,7 +148,7 @@
 			l.close(err)
 			return
 		}
-		heartbeat.Reset(heartbeatInterval)
+		heartbeat.Reset(l.interval)
 	}
 }
 
@@ -167,7 +179,7 @@
 // readLoop calls handle with each message until the link closes.
 func (l *Link) readLoop(handle func(message any)) {
 	for {
-		if err := l.conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+		if err := l.conn.SetReadDeadline(time.Now().Add(l.readTimeout)); err != nil {
 			l.close(err)
 			return
 		}
--- /dev/null
+++ b/io/guavamesh/mesh_test.go
@@ -0,0 +1,77 @@
+package guavamesh_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"guavaridge/core/guavamember"
+	"guavaridge/io/guavamesh"
+	"guavaridge/io/guavanetwork"
+)
+
+// recorder records the heartbeats and ends of links.
+type recorder struct {
+	mu         sync.Mutex
+	heartbeats int
+	down       time.Time
+}
+
+// LinkUp implements guavamesh.Handler.
+func (*recorder) LinkUp(*guavamesh.Link) {}
+
+// Receive implements guavamesh.Handler.
+func (r *recorder) Receive(*guavamesh.Link, any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heartbeats++
+}
+
+// LinkDown implements guavamesh.Handler.
+func (r *recorder) LinkDown(*guavamesh.Link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down.IsZero() {
+		r.down = time.Now()
+	}
+}
+
+// TestSilence guards against idle links that break, against heartbeats of the dialing VM at the rate of the accepting
+// one, which a deciding VM receives from the whole fleet, and against a partition that is noticed late.
+func TestSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := guavanetwork.New()
+		ln, err := network.Listen("b", "10.0.0.2:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		var dialer, acceptor recorder
+		a := guavamesh.New(guavamember.Identity{Name: "a"}, network.Site("a").Dial, &dialer, hclog.NewNullLogger())
+		b := guavamesh.New(guavamember.Identity{Name: "b"}, network.Site("b").Dial, &acceptor, hclog.NewNullLogger())
+		defer a.Close()
+		defer b.Close()
+		go b.Serve(ln)
+		a.SetPeers([]guavamember.Identity{{Name: "b", Address: "10.0.0.2:1"}})
+		const idle = 30 * time.Second
+		time.Sleep(idle)
+		if n := dialer.heartbeats; !dialer.down.IsZero() || n < 4*int(idle.Seconds()) {
+			t.Errorf("dialing VM got %d heartbeats in %v, want at least 4 a second; down: %v", n, idle, dialer.down)
+		}
+		if n := acceptor.heartbeats; !acceptor.down.IsZero() || n > 2*int(idle.Seconds()) {
+			t.Errorf("accepting VM got %d heartbeats in %v, want at most 2 a second; down: %v", n, idle, acceptor.down)
+		}
+		cut := time.Now()
+		network.Partition("a", "b")
+		time.Sleep(5 * time.Second)
+		if d := dialer.down.Sub(cut); dialer.down.IsZero() || d > 1200*time.Millisecond {
+			t.Errorf("dialing VM noticed the partition after %v, want at most 1.2 s", d)
+		}
+		if d := acceptor.down.Sub(cut); acceptor.down.IsZero() || d > 2*time.Second {
+			t.Errorf("accepting VM noticed the partition after %v, want at most 2 s", d)
+		}
+	})
+}
--- a/io/guavaview/follower.go
+++ b/io/guavaview/follower.go
@@ -24,10 +24,10 @@
 	readerCheckInterval = 100 * time.Millisecond
 	// heartbeatMargin is added to the duration of a long poll for the maximum age of the store's response in a heartbeat.
 	heartbeatMargin = 200 * time.Millisecond
-	// batchDelay is the pause after a response with changes. The store responds to a poll as soon as there is a change, so
+	// defaultBatchDelay is the pause after a response with changes. The store responds to a poll as soon as there is a change, so
 	// without the pause each commit to a busy table costs a call and a message to each subscriber. It is short compared
 	// with the 2 s within which a configuration has to be in force.
-	batchDelay = 50 * time.Millisecond
+	defaultBatchDelay = 50 * time.Millisecond
 	// snapshotTimeout bounds the read of a complete table.
 	snapshotTimeout = 3 * time.Second
 )
@@ -48,6 +48,8 @@
 	// covered reports whether other VMs forward all changes, and publish forwards changes to other VMs; either may be nil.
 	covered func() bool
 	publish func(Delta)
+	// batchDelay is the pause after a response with changes.
+	batchDelay time.Duration
 
 	mu               sync.Mutex
 	rows             map[string]guavaplatform.Row
@@ -65,10 +67,14 @@
 ) *Follower {
 	return &Follower{
 		feed: feed, table: table, parts: parts, wait: wait, apply: apply, logger: logger,
-		ready: make(chan struct{}), rows: map[string]guavaplatform.Row{},
+		ready: make(chan struct{}), rows: map[string]guavaplatform.Row{}, batchDelay: defaultBatchDelay,
 	}
 }
 
+// SetBatchDelay sets the pause after a response with changes, for a table whose changes are frequent and need not be
+// known at once. It is called before Run.
+func (f *Follower) SetBatchDelay(d time.Duration) { f.batchDelay = d }
+
 // SetReplication makes the follower pause polling while covered reports that other VMs forward all changes, and pass
 // changes that it reads from the store to publish. It is called before Run.
 func (f *Follower) SetReplication(covered func() bool, publish func(Delta)) {
@@ -126,7 +132,7 @@
 			backoff, reload = minBackoff, false
 			f.recordSuccess(time.Now())
 			if changed {
-				sleep(ctx, batchDelay)
+				sleep(ctx, f.batchDelay)
 			}
 			continue
 		case errors.Is(err, guavaplatform.ErrTruncated):
