Bound what a VM buffers of a server's response

Cause: an event had no bound in bytes, a buffered response one of 32 MiB for each request, a skipped late response none. One server that sends bytes without an end fills a VM of 184 MB. Read timeouts counted from the last byte, so a server that sends a byte now and then kept an item for ever.

Change: core/guavabudget shares a quarter of the VM's memory between all responses, a quarter of that for one; exchanges hold what they buffer. A response beyond it fails like a broken one, so it is sent again where the route allows that, its connection is closed and its server counts as failing. Read timeouts last until the next complete event. An item fails with more events than it has output tokens, or over 4 MiB of text.

Not done: the same look at the store's and other VMs' bytes and at cmd/guavaridge (docs/FAULTS.md).

--- a/core/guavaprogress/job.go
+++ b/core/guavaprogress/job.go
@@ -150,6 +150,9 @@
 // Text returns the data of all events, separated by line feeds.
 func (p *Progress) Text() string { return string(p.text) }
 
+// TextSize returns the length of Text in bytes.
+func (p *Progress) TextSize() int { return len(p.text) }
+
 // AddEvent appends the data of an event. Event numbers are consecutive, with any first number; otherwise it returns
 // ErrOutOfOrder.
 func (p *Progress) AddEvent(id int, data []byte) error {
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/core/guavamember"
 	"guavaridge/core/guavaquota"
 	"guavaridge/core/guavatraffic"
@@ -49,6 +50,8 @@
 	// maxIdleConns is the maximum number of idle connections to each server, the number of slots that servers usually
 	// have.
 	maxIdleConns = 8
+	// responseShare is the part of the VM's memory that responses of servers may use: the memory divided by this number.
+	responseShare = 4
 	// reservedFiles is the number of file descriptors that are not available to connections of callers.
 	reservedFiles = 400
 	// writeTimeout is how long a caller may leave sent bytes unread before its connection is closed.
@@ -82,6 +85,7 @@
 	gate       *guavagate.Gateway
 	batch      *guavajobs.Jobs
 	pool       *guavapool.Pool
+	sender     *guavasend.Sender
 	metrics    *guavametrics.Metrics
 
 	config, servers, vms, jobs *guavaview.Follower
@@ -122,7 +126,8 @@
 		return &guavatraffic.Config{}
 	}, guavaquota.Tolerance{Overage: s.Overage, Slack: s.Slack}, e.replicator, network.Dial, logger)
 	e.pool = guavapool.New(network.Dial, dialTimeout, idleTimeout, maxIdleConns, &guavapool.Counters{})
-	sender := guavasend.New(e.pool)
+	e.sender = guavasend.New(e.pool, guavabudget.New(s.Memory*(1<<20)/responseShare))
+	sender := e.sender
 	store := guavafallback.New(p.Store, p.Store, func() bool { return e.config.Outage(time.Now()) > fallbackDelay },
 		e.replicator.randomLinks, logger)
 	e.replicator.fallback = store
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -18,8 +18,10 @@
 const (
 	// bufferSize is the size in bytes of the buffer for reading streamed responses.
 	bufferSize = 4 << 10
-	// maxResponseSize bounds a buffered response, in bytes.
-	maxResponseSize = 32 << 20
+	// minStallTimeout and stallFactor, a multiple of the route's target, bound the pause between two events of a stream
+	// that cannot be resumed. Its caller has left by then.
+	minStallTimeout = 10 * time.Second
+	stallFactor     = 20
 )
 
 // relayBuffered relays a response that is not a stream. It reads the complete response first, so that the request can
@@ -32,10 +34,7 @@
 		reservation.Release(guavaplace.Failed, 0)
 		return c.retryPossiblyExecuted(fmt.Sprintf("status %d without a statement that the request was not executed", status))
 	}
-	body, err := io.ReadAll(io.LimitReader(x, maxResponseSize+1))
-	if err == nil && len(body) > maxResponseSize {
-		err = fmt.Errorf("response exceeds %d bytes", maxResponseSize)
-	}
+	body, err := x.ReadAll()
 	if err != nil {
 		x.Close()
 		return c.handleSendError(reservation, &guavasend.Error{Sent: true, Err: err})
@@ -110,7 +109,6 @@
 	s := &stream{
 		call: c, exchange: x, reservation: reservation, lastEventID: c.request.LastEventID, buffer: make([]byte, bufferSize),
 	}
-	s.setReadTimeout()
 	response := x.Response // the first fill may finish a short response, which clears it
 	if err := s.fill(); err != nil {
 		x.Close()
@@ -122,15 +120,20 @@
 	return true, false
 }
 
-// setReadTimeout bounds the time between reads if the stream can be resumed on another server.
-func (s *stream) setReadTimeout() {
-	if s.call.route.Repeatable() {
-		s.exchange.SetReadTimeout(max(2*s.call.route.GapTarget, s.call.responseTimeout()))
+// eventTimeout bounds the wait for the next complete event.
+func (s *stream) eventTimeout() time.Duration {
+	c := s.call
+	if c.route.Repeatable() {
+		return max(2*c.route.GapTarget, c.responseTimeout())
 	}
+	return max(stallFactor*c.route.GapTarget, minStallTimeout)
 }
 
 // fill reads until there is a complete event or the response ends.
 func (s *stream) fill() error {
+	if err := s.exchange.SetReadTimeout(s.eventTimeout()); err != nil {
+		return err //nolint:wrapcheck // it says that the deadline was not set
+	}
 	for len(s.pending) == 0 && !s.done {
 		n, err := s.exchange.Read(s.buffer)
 		s.splitter.Write(s.buffer[:n])
@@ -145,6 +148,9 @@
 				s.lastEventID = e.ID
 			}
 		}
+		if holdErr := s.exchange.Hold(s.splitter.Pending()); holdErr != nil {
+			err = holdErr
+		}
 		switch {
 		case errors.Is(err, io.EOF) && s.events == 0:
 			return errNoEvents
@@ -223,7 +229,6 @@
 			continue
 		}
 		s.exchange, s.reservation, s.splitter, s.readErr = x, reservation, guavaevent.Splitter{}, nil
-		s.setReadTimeout()
 		return nil
 	}
 	return fmt.Errorf("stream failed and was not resumed: %w", cause)
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -24,7 +24,9 @@
 	// completionMargin is how long before the job's deadline its items should be done: clients read results about twice
 	// a second.
 	completionMargin = 700 * time.Millisecond
-	// serverTimeout is how long a server may send nothing before the item is retried on another one. Engines that ran
+	// maxTextSize bounds the text of an item, in bytes.
+	maxTextSize = 4 << 20
+	// serverTimeout is how long a server may send no event before the item is retried on another one. Engines that ran
 	// out of memory leave a request waiting before they process it again.
 	serverTimeout = 2500 * time.Millisecond
 	// retryDelay is the delay before an item is retried when no reservation was available or a server rejected it.
@@ -257,8 +259,13 @@
 func (r *itemRun) receive(x *guavasend.Exchange) error {
 	var s guavaevent.Splitter
 	buffer := make([]byte, bufferSize)
-	x.SetReadTimeout(serverTimeout)
-	for {
+	for waiting := false; ; {
+		if !waiting {
+			if err := x.SetReadTimeout(serverTimeout); err != nil {
+				return err //nolint:wrapcheck // it says that the deadline was not set
+			}
+		}
+		waiting = true
 		n, err := x.Read(buffer)
 		s.Write(buffer[:n])
 		for {
@@ -269,10 +276,18 @@
 			if e.ID < 0 {
 				continue
 			}
+			waiting = false
 			if err := r.addEvent(e); err != nil {
 				return fmt.Errorf("receive event %d after %d: %w", e.ID, r.progress.LastEvent(), err)
 			}
 		}
+		if err := x.Hold(s.Pending()); err != nil {
+			return err //nolint:wrapcheck // it names the server
+		}
+		if n := r.progress.TextSize(); n > maxTextSize || r.item.Output > 0 && r.progress.Events() > r.item.Output {
+			return fmt.Errorf("output of %d events and %d bytes is longer than the item's %d tokens: %w",
+				r.progress.Events(), n, r.item.Output, guavasend.ErrOverBudget)
+		}
 		switch {
 		case errors.Is(err, io.EOF) && s.Pending() == 0 && r.progress.Events() > 0:
 			return nil
--- a/io/guavasend/sender.go
+++ b/io/guavasend/sender.go
@@ -8,10 +8,12 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/io/guavapool"
 )
 
@@ -21,11 +23,18 @@
 	largeBody = 8 << 10
 	// maxForeignResponses is the number of responses to other requests that are skipped on one connection.
 	maxForeignResponses = 3
+	// maxForeignSize bounds the bytes of such a response. A server that sends more is not in step with the requests.
+	maxForeignSize = 1 << 20
+	// minReadSize is the size of the first read of a body without a length.
+	minReadSize = 4 << 10
 	// resetWindow bounds the time until the reset of a connection that the server has dropped arrives: a round trip
 	// between regions. If the connection fails later, the request may have been executed.
 	resetWindow = 100 * time.Millisecond
 )
 
+// ErrOverBudget means that a server has sent more than fits into the memory that the VM uses for responses.
+var ErrOverBudget = errors.New("response exceeds the memory for responses")
+
 // Error is a failed exchange.
 type Error struct {
 	// Sent reports whether bytes of the request may have reached the server.
@@ -57,21 +66,27 @@
 }
 
 // Sender sends requests.
-type Sender struct{ pool *guavapool.Pool }
+type Sender struct {
+	// OverBudget counts the responses that failed with ErrOverBudget.
+	OverBudget atomic.Uint64
+
+	pool   *guavapool.Pool
+	budget *guavabudget.Budget
+}
 
-// New returns a sender that uses the connections of the pool.
-func New(p *guavapool.Pool) *Sender { return &Sender{pool: p} }
+// New returns a sender that uses the connections of the pool, and holds what servers send within the budget.
+func New(p *guavapool.Pool, b *guavabudget.Budget) *Sender { return &Sender{pool: p, budget: b} }
 
 // Exchange is a request whose response headers have been read. It must be finished or closed.
 type Exchange struct {
 	Response *fasthttp.Response
 
-	sender      *Sender
-	address     string
-	conn        *guavapool.Connection
-	stop        func() bool
-	writeDone   chan error
-	readTimeout time.Duration
+	sender    *Sender
+	address   string
+	conn      *guavapool.Connection
+	stop      func() bool
+	writeDone chan error
+	buffered  guavabudget.Holder
 }
 
 // Send sends a request and reads the headers of its response. The end of ctx closes the connection, until the exchange
@@ -107,7 +122,7 @@
 
 // exchange sends a request on a connection and reads the headers of its response.
 func (s *Sender) exchange(ctx context.Context, c *guavapool.Connection, r Request) (*Exchange, *Error) {
-	x := &Exchange{sender: s, address: r.Address, conn: c, writeDone: make(chan error, 1)}
+	x := &Exchange{sender: s, address: r.Address, conn: c, writeDone: make(chan error, 1), buffered: s.budget.Holder()}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	err := x.roundTrip(r)
 	if err == nil {
@@ -135,7 +150,7 @@
 		}
 		x.writeDone <- nil
 	}
-	if err := x.setReadDeadline(r.HeaderTimeout); err != nil {
+	if err := x.SetReadTimeout(r.HeaderTimeout); err != nil {
 		return err
 	}
 	for range maxForeignResponses {
@@ -148,10 +163,14 @@
 		}
 		if r.ID == "" || string(x.Response.Header.Peek(r.IDHeader)) == r.ID {
 			x.conn.IdleTime = keepAliveTimeout(string(x.Response.Header.Peek("Keep-Alive")))
-			return nil
+			return x.SetReadTimeout(0)
 		}
 		// This is a late response to an earlier request on the connection; that to r follows.
-		if _, err := io.Copy(io.Discard, x.body()); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(x.body(), maxForeignSize+1))
+		if err == nil && n > maxForeignSize {
+			err = fmt.Errorf("more than %d bytes", maxForeignSize)
+		}
+		if err != nil {
 			return fmt.Errorf("skip a late response from %s: %w", r.Address, err)
 		}
 		fasthttp.ReleaseResponse(x.Response)
@@ -171,8 +190,9 @@
 	return nil
 }
 
-// setReadDeadline bounds the reads from now on by a timeout; 0 means no bound.
-func (x *Exchange) setReadDeadline(d time.Duration) error {
+// SetReadTimeout bounds all reads until the next call by a time from now; 0 means no bound. A server that sends a byte
+// now and then does not extend it.
+func (x *Exchange) SetReadTimeout(d time.Duration) error {
 	var deadline time.Time
 	if d > 0 {
 		deadline = time.Now().Add(d)
@@ -183,8 +203,39 @@
 	return nil
 }
 
-// SetReadTimeout bounds each following read of the body; 0 means no bound.
-func (x *Exchange) SetReadTimeout(d time.Duration) { x.readTimeout = d }
+// Hold records the number of bytes of the response that are buffered, and returns ErrOverBudget if they are too many.
+func (x *Exchange) Hold(bytes int) error {
+	if !x.buffered.Set(bytes) {
+		x.sender.OverBudget.Add(1)
+		return fmt.Errorf("buffer %d bytes from %s: %w", bytes, x.address, ErrOverBudget)
+	}
+	return nil
+}
+
+// ReadAll reads the complete body.
+func (x *Exchange) ReadAll() ([]byte, error) {
+	size := max(x.Response.Header.ContentLength()+1, minReadSize) // one more byte than the body, to read its end
+	if err := x.Hold(size); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, size)
+	for {
+		if len(body) == cap(body) {
+			if err := x.Hold(2 * cap(body)); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, 2*cap(body)), body...)
+		}
+		n, err := x.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
 
 func (x *Exchange) body() io.Reader {
 	if b := x.Response.BodyStream(); b != nil {
@@ -196,9 +247,6 @@
 // Read reads from the body. io.EOF means that the response is complete; one without a length ends when its connection
 // is closed.
 func (x *Exchange) Read(p []byte) (int, error) {
-	if err := x.setReadDeadline(x.readTimeout); err != nil {
-		return 0, err
-	}
 	n, err := x.body().Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
 		return n, fmt.Errorf("read body from %s: %w", x.address, err)
@@ -232,6 +280,7 @@
 }
 
 func (x *Exchange) freeResponse() {
+	x.buffered.Set(0)
 	if x.Response != nil {
 		// Another goroutine may still read the body, so the response is left to the garbage collector instead of released.
 		x.Response = nil
