--- a/io/guavamesh/mesh_test.go
+++ b/io/guavamesh/mesh_test.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// read returns the number of heartbeats and the first end of a link.
+func (r *recorder) read() (heartbeats int, down time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.heartbeats, r.down
+}
+
 // TestSilence guards against idle links that break, against heartbeats of the dialing VM at the rate of the accepting
 // one, which a deciding VM receives from the whole fleet, and against a partition that is noticed late.
 func TestSilence(t *testing.T) {
@@ -58,20 +65,20 @@
 		a.SetPeers([]guavamember.Identity{{Name: "b", Address: "10.0.0.2:1"}})
 		const idle = 30 * time.Second
 		time.Sleep(idle)
-		if n := dialer.heartbeats; !dialer.down.IsZero() || n < 4*int(idle.Seconds()) {
-			t.Errorf("dialing VM got %d heartbeats in %v, want at least 4 a second; down: %v", n, idle, dialer.down)
+		if n, down := dialer.read(); !down.IsZero() || n < 4*int(idle.Seconds()) {
+			t.Errorf("dialing VM got %d heartbeats in %v, want at least 4 a second; down: %v", n, idle, down)
 		}
-		if n := acceptor.heartbeats; !acceptor.down.IsZero() || n > 2*int(idle.Seconds()) {
-			t.Errorf("accepting VM got %d heartbeats in %v, want at most 2 a second; down: %v", n, idle, acceptor.down)
+		if n, down := acceptor.read(); !down.IsZero() || n > 2*int(idle.Seconds()) {
+			t.Errorf("accepting VM got %d heartbeats in %v, want at most 2 a second; down: %v", n, idle, down)
 		}
 		cut := time.Now()
 		network.Partition("a", "b")
 		time.Sleep(5 * time.Second)
-		if d := dialer.down.Sub(cut); dialer.down.IsZero() || d > 1200*time.Millisecond {
-			t.Errorf("dialing VM noticed the partition after %v, want at most 1.2 s", d)
+		if _, down := dialer.read(); down.IsZero() || down.Sub(cut) > 1200*time.Millisecond {
+			t.Errorf("dialing VM noticed the partition after %v, want at most 1.2 s", down.Sub(cut))
 		}
-		if d := acceptor.down.Sub(cut); acceptor.down.IsZero() || d > 2*time.Second {
-			t.Errorf("accepting VM noticed the partition after %v, want at most 2 s", d)
+		if _, down := acceptor.read(); down.IsZero() || down.Sub(cut) > 2*time.Second {
+			t.Errorf("accepting VM noticed the partition after %v, want at most 2 s", down.Sub(cut))
 		}
 	})
 }
