Give back a reservation of waiting tokens only if no other VM has made one

Cause: found in reading. A VM that could not create a job gave back the reservation of that job by its identifier. The same job may have been sent to another VM, which reserved under the same identifier and accepted it; until the copies of the jobs table have that job, the account's other jobs could exceed its limit.

Change: a reservation is given back only by the VM that made the first one for the job, and only while its time is the one that the VM wrote.

Test: TestRelease (fails without either condition).

--- a/core/guavabacklog/backlog.go
+++ b/core/guavabacklog/backlog.go
@@ -37,30 +37,31 @@
 	Recent map[string]Reservation `json:"recent"`
 }
 
-// Has reports whether the job has a reservation.
-func (b Backlog) Has(job string) bool {
-	_, ok := b.Recent[job]
-	return ok
-}
-
 // With returns the Backlog with a reservation for the job, and without those that every VM's copy of the jobs table
-// supersedes at the given time.
-func (b Backlog) With(job string, tokens int, now time.Time) Backlog {
+// supersedes at the given time. Own reports whether the caller made the only reservation for the job. If not, another VM
+// got the same job and may create it.
+func (b Backlog) With(job string, tokens int, now time.Time) (next Backlog, own bool) {
 	recent := make(map[string]Reservation, len(b.Recent)+1)
 	for id, r := range b.Recent {
 		if now.Sub(time.UnixMilli(r.At)) < RecentTime {
 			recent[id] = r
 		}
 	}
+	_, reserved := recent[job]
 	recent[job] = Reservation{Tokens: tokens, At: now.UnixMilli()}
-	return Backlog{Recent: recent}
+	return Backlog{Recent: recent}, !reserved
 }
 
-// Without returns the Backlog without the reservation of a job that was not created.
-func (b Backlog) Without(job string) Backlog {
+// Without returns the Backlog without the caller's own reservation for a job that it did not create. It returns false if
+// another VM has reserved for the same job since.
+func (b Backlog) Without(job string, reserved time.Time) (next Backlog, ok bool) {
+	r, ok := b.Recent[job]
+	if !ok || r.At != reserved.UnixMilli() {
+		return b, false
+	}
 	recent := maps.Clone(b.Recent)
 	delete(recent, job)
-	return Backlog{Recent: recent}
+	return Backlog{Recent: recent}, true
 }
 
 // Job is a job of the account and route as the jobs table has it.
--- a/core/guavabacklog/backlog_test.go
+++ b/core/guavabacklog/backlog_test.go
@@ -16,7 +16,9 @@
 // against jobs refused for tokens that no longer wait.
 func TestDecide(t *testing.T) {
 	due := start.Add(10 * time.Second)
-	recent := guavabacklog.Backlog{}.With("new", 400, start)
+	recent, _ := guavabacklog.Backlog{}.With("new", 400, start)
+	again, _ := guavabacklog.Backlog{}.With("job", 800, start)
+	without, _ := recent.Without("new", start)
 	cases := []struct {
 		name    string
 		backlog guavabacklog.Backlog
@@ -39,8 +41,8 @@
 		{name: "the copy has the job, which has progressed", backlog: recent, jobs: []guavabacklog.Job{{ID: "new", Waiting: 100, Deadline: due}}, tokens: 900, fits: true, waiting: 100},
 		{name: "the copy has the job, which is closed", backlog: recent, jobs: []guavabacklog.Job{{ID: "new"}}, tokens: 1000, fits: true},
 		{name: "the job was never created", backlog: recent, tokens: 1000, after: guavabacklog.RecentTime, fits: true},
-		{name: "same job again", backlog: guavabacklog.Backlog{}.With("job", 800, start), tokens: 800, fits: true},
-		{name: "given back", backlog: recent.Without("new"), tokens: 1000, fits: true},
+		{name: "same job again", backlog: again, tokens: 800, fits: true},
+		{name: "given back", backlog: without, tokens: 1000, fits: true},
 	}
 	for _, c := range cases {
 		d := c.backlog.Decide("job", c.tokens, 1000, c.jobs, start.Add(c.after))
@@ -107,7 +109,7 @@
 					}
 					continue
 				}
-				backlog = backlog.With(id, tokens, now)
+				backlog, _ = backlog.With(id, tokens, now)
 				if rapid.IntRange(0, 9).Draw(t, "created") == 0 {
 					failed++ // the VM failed before it created the job
 					continue
@@ -120,3 +122,29 @@
 		}
 	})
 }
+
+// TestRelease guards against a VM that gives back the reservation of a job that another VM has accepted: the job is in no
+// other VM's copy of the jobs table yet, so the account's other jobs would exceed the limit.
+func TestRelease(t *testing.T) {
+	later := start.Add(time.Second)
+	first, own := guavabacklog.Backlog{}.With("job", 800, start)
+	if !own {
+		t.Error("first reservation: not the caller's own")
+	}
+	if next, ok := first.Without("job", start); !ok || len(next.Recent) != 0 {
+		t.Errorf("own reservation given back: got %v, %t", next, ok)
+	}
+	second, own := first.With("job", 800, later)
+	if own {
+		t.Error("second reservation for the job: the caller's own, want that of two VMs")
+	}
+	if next, ok := second.Without("job", start); ok || len(next.Recent) != 1 {
+		t.Errorf("given back by the first VM after the second has reserved: got %v, %t", next, ok)
+	}
+	if d := second.Decide("other", 300, 1000, nil, later); d.Fits {
+		t.Error("another job fits beside the reservation")
+	}
+	if _, own := second.With("job", 800, later.Add(guavabacklog.RecentTime)); !own {
+		t.Error("reservation after the earlier ones have lapsed: not the caller's own")
+	}
+}
--- a/io/guavajobs/backlog.go
+++ b/io/guavajobs/backlog.go
@@ -21,47 +21,58 @@
 var errBacklogFull = errors.New("too many recent jobs of the account")
 
 // reserve decides whether the job fits into the limit of its account's waiting tokens and, if so, stores a reservation
-// for it. An error means that nothing was decided. A reservation that was stored all the same counts until
-// guavabacklog.RecentTime.
-func (l *Jobs) reserve(ctx context.Context, j guavaprogress.Job, limit int) (guavabacklog.Decision, error) {
+// for it. The time of the reservation is returned if this VM may give it back, and otherwise zero. An error means that
+// nothing was decided. A reservation that was stored all the same counts until guavabacklog.RecentTime.
+func (l *Jobs) reserve(
+	ctx context.Context, j guavaprogress.Job, limit int,
+) (d guavabacklog.Decision, reserved time.Time, err error) {
 	for {
-		decision, err := l.tryReserve(ctx, j, limit)
+		d, reserved, err = l.tryReserve(ctx, j, limit)
 		switch {
 		case err == nil || errors.Is(err, guavaplatform.ErrUnavailable) || errors.Is(err, errStaleCopy) ||
 			errors.Is(err, errBacklogFull):
-			return decision, err
+			return d, reserved, err
 		case errors.Is(err, guavaplatform.ErrConflict) && ctx.Err() == nil:
 			continue // another VM has stored a reservation, so the VMs together make progress
 		case !pause(ctx, err):
-			return decision, fmt.Errorf("reserve waiting tokens: %w", err)
+			return d, time.Time{}, fmt.Errorf("reserve waiting tokens: %w", err)
 		}
 	}
 }
 
-func (l *Jobs) tryReserve(ctx context.Context, j guavaprogress.Job, limit int) (guavabacklog.Decision, error) {
+func (l *Jobs) tryReserve(
+	ctx context.Context, j guavaprogress.Job, limit int,
+) (d guavabacklog.Decision, reserved time.Time, err error) {
 	b, revision, err := l.readBacklog(ctx, j)
 	if err != nil {
-		return guavabacklog.Decision{}, err
+		return d, time.Time{}, err
 	}
 	now := time.Now()
 	if now.Sub(l.Confirmed()) > guavabacklog.MaxStaleness {
-		return guavabacklog.Decision{}, errStaleCopy
+		return d, time.Time{}, errStaleCopy
 	}
-	d := b.Decide(j.ID, j.WaitingTokens, limit, l.index.of(j.Account, j.Route), now)
+	d = b.Decide(j.ID, j.WaitingTokens, limit, l.index.of(j.Account, j.Route), now)
 	if !d.Fits {
-		return d, nil
+		return d, time.Time{}, nil
 	}
-	return d, l.writeBacklog(ctx, j, revision, b.With(j.ID, j.WaitingTokens, now))
+	next, own := b.With(j.ID, j.WaitingTokens, now)
+	if own {
+		reserved = now
+	}
+	return d, reserved, l.writeBacklog(ctx, j, revision, next)
 }
 
-// release gives the reservation of a job that was not created back. If that fails, the reservation lapses.
-func (l *Jobs) release(ctx context.Context, j guavaprogress.Job, limit int) {
-	if limit == 0 {
+// release gives back the reservation of a job that was not created, unless reserved is zero. If that fails, the
+// reservation lapses.
+func (l *Jobs) release(ctx context.Context, j guavaprogress.Job, reserved time.Time) {
+	if reserved.IsZero() {
 		return
 	}
 	b, revision, err := l.readBacklog(ctx, j)
-	if err == nil && b.Has(j.ID) {
-		err = l.writeBacklog(ctx, j, revision, b.Without(j.ID))
+	if err == nil {
+		if next, ok := b.Without(j.ID, reserved); ok {
+			err = l.writeBacklog(ctx, j, revision, next)
+		}
 	}
 	if err != nil {
 		l.Logger.Info("release of waiting tokens failed", "job", j.ID, "account", j.Account, "tokens", j.WaitingTokens, "error", err)
--- a/io/guavajobs/submit.go
+++ b/io/guavajobs/submit.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"guavaridge/core/guavabacklog"
 	"guavaridge/core/guavaprogress"
 	"guavaridge/core/guavatraffic"
 	"guavaridge/io/guavagate"
@@ -56,9 +57,11 @@
 		Priority: l.Config().Priority(route, account),
 	}.WithOwner(l.Self.Name, l.Self.Incarnation)
 	// The job exists only once its row does. Until then, a refusal correctly states that nothing runs.
+	var reserved time.Time
 	if limit := route.WaitingTokens; limit > 0 {
-		decision, err := l.reserve(ctx, j, limit)
-		if err != nil {
+		var decision guavabacklog.Decision
+		var err error
+		if decision, reserved, err = l.reserve(ctx, j, limit); err != nil {
 			l.refuse(w, j.ID, err)
 			return
 		}
@@ -68,14 +71,14 @@
 		}
 	}
 	if err := l.putItems(ctx, j.ID, items); err != nil {
-		l.release(ctx, j, route.WaitingTokens)
+		l.release(ctx, j, reserved)
 		l.refuse(w, j.ID, err)
 		return
 	}
 	e, err := l.create(ctx, j)
 	switch {
 	case errors.Is(err, guavaplatform.ErrUnavailable):
-		l.release(ctx, j, route.WaitingTokens)
+		l.release(ctx, j, reserved)
 		l.refuse(w, j.ID, err)
 	case err != nil:
 		// The row may still be written, so the response states neither that the job was accepted nor that it was not.
