Let a request that must not be repeated wait for its first event until its deadline

The bound on pauses between events, 10 s or more, also held from the headers to the first event. A server that sends its headers before it begins is slow, not stalled.

Tests: the package platform passes, TestResponsesWithoutEnd among them.

--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -120,11 +120,15 @@
 	return true, false
 }
 
-// eventTimeout bounds the wait for the next complete event.
+// eventTimeout bounds the wait for the next complete event; 0 means no bound. A request that must not be repeated waits
+// for its first event until its deadline, since a server may send the headers long before it begins.
 func (s *stream) eventTimeout() time.Duration {
 	c := s.call
-	if c.route.Repeatable() {
+	switch {
+	case c.route.Repeatable():
 		return max(2*c.route.GapTarget, c.responseTimeout())
+	case s.events == 0:
+		return 0
 	}
 	return max(stallFactor*c.route.GapTarget, minStallTimeout)
 }
