Log and count why a stream is cut off

The line about a stream that was cut off gave the failure of its server, not the reason for which the stream did not go on elsewhere, and the metric counted every cut as "server failed", among them callers that had left.

The line and the resume line now carry the time since the last event, the number of runs and the whole chain of errors; the metric separates no attempt left, no server for the rest, deadline and a VM that closes; a caller that left counts as left.

--- a/io/guavagate/outcome.go
+++ b/io/guavagate/outcome.go
@@ -31,8 +31,12 @@
 // Causes of requests that end without a response, where neither the scheduler nor a job gives one. Log lines contain
 // the text of the error instead.
 const (
-	causeServer = "server failed"
-	causeNone   = ""
+	causeServer   = "server failed"
+	causeAttempts = "no attempt left"
+	causeNoServer = "no server for the rest"
+	causeDeadline = "deadline"
+	causeClosing  = "VM closing"
+	causeNone     = ""
 )
 
 // Ending describes how a request ended. Each field has few values, since they are the labels of a metric.
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -85,6 +86,13 @@
 	}
 }
 
+// Causes of streams that are not resumed on another server.
+var (
+	errNotResumable   = errors.New("the route does not allow it, or no event was received")
+	errNoAttemptsLeft = errors.New("no attempt left")
+	errNoServer       = errors.New("no server for the rest")
+)
+
 // errNoEvents means that a stream ended before its first event. No request causes that, so the server has failed.
 var errNoEvents = errors.New("stream without events")
 
@@ -98,6 +106,7 @@
 	pending     []byte // complete events that were not yet relayed
 	lastEventID int    // ID of the last complete event, -1 for none
 	events      int
+	lastEventAt time.Time
 	buffer      []byte
 	done        bool
 	readErr     error
@@ -107,7 +116,8 @@
 // to retry on another server.
 func (c *call) relayStream(x *guavasend.Exchange, reservation *guavacoord.Reservation) (streaming, retry bool) {
 	s := &stream{
-		call: c, exchange: x, reservation: reservation, lastEventID: c.request.LastEventID, buffer: make([]byte, bufferSize),
+		call: c, exchange: x, reservation: reservation, lastEventID: c.request.LastEventID, lastEventAt: time.Now(),
+		buffer: make([]byte, bufferSize),
 	}
 	response := x.Response // the first fill may finish a short response, which clears it
 	if err := s.fill(); err != nil {
@@ -148,6 +158,7 @@
 			}
 			s.pending = append(s.pending, e.Raw...)
 			s.events++
+			s.lastEventAt = time.Now()
 			if e.ID >= 0 {
 				s.lastEventID = e.ID
 			}
@@ -187,6 +198,7 @@
 		}
 		if err != nil {
 			if err := s.resume(err); err != nil {
+				s.readErr = err
 				return 0, err
 			}
 		}
@@ -203,20 +215,24 @@
 	ended := c.runCtx.Err() != nil
 	if ended {
 		s.reservation.Release(guavaplace.Cancelled, 0)
-		return fmt.Errorf("request ended during the stream: %w", cause)
+		return fmt.Errorf("request ended during the stream: %w: %w", context.Cause(c.runCtx), cause)
 	}
 	s.reservation.Release(guavaplace.ConnectionLost, 0)
-	for c.route.Repeatable() && s.lastEventID >= 0 {
+	if !c.route.Repeatable() || s.lastEventID < 0 {
+		return fmt.Errorf("stream not resumed: %w: %w", errNotResumable, cause)
+	}
+	for {
 		c.executions++
 		c.avoid = append(c.avoid, c.server)
 		if c.executions >= c.route.Attempts {
-			break
+			return fmt.Errorf("stream not resumed: %w: %w", errNoAttemptsLeft, cause)
 		}
-		c.log("resume", "after", s.lastEventID, "cause", cause.Error())
+		c.log("resume", "after", s.lastEventID, "silent", time.Since(s.lastEventAt).Milliseconds(), "runs", c.executions,
+			"cause", cause.Error())
 		c.gate.Counters.Resumed.Add(1)
 		reservation, err := c.acquire()
 		if err != nil {
-			return fmt.Errorf("resume the stream: %w", err)
+			return fmt.Errorf("stream not resumed: %w: %w: %w", errNoServer, err, cause)
 		}
 		x, err := c.send(reservation, s.lastEventID)
 		if err != nil {
@@ -235,7 +251,21 @@
 		s.exchange, s.reservation, s.splitter, s.readErr = x, reservation, guavaevent.Splitter{}, nil
 		return nil
 	}
-	return fmt.Errorf("stream failed and was not resumed: %w", cause)
+}
+
+// truncationCause returns the label of a truncated stream's metric for its error.
+func truncationCause(err error) string {
+	switch {
+	case errors.Is(err, errDeadline):
+		return causeDeadline
+	case errors.Is(err, errClosing):
+		return causeClosing
+	case errors.Is(err, errNoAttemptsLeft):
+		return causeAttempts
+	case errors.Is(err, errNoServer):
+		return causeNoServer
+	}
+	return causeServer
 }
 
 // Close implements io.Closer for the HTTP server, which calls it when the response is complete or the caller has
@@ -255,11 +285,12 @@
 			cause = errDisconnected
 		}
 		c.gate.Counters.Failed.Add(1)
-		c.log("stream aborted", "events", s.events, "cause", cause.Error())
+		c.log("stream aborted", "events", s.events, "silent", time.Since(s.lastEventAt).Milliseconds(), "runs", c.executions+1,
+			"cause", cause.Error())
 		if errors.Is(cause, errDisconnected) {
 			c.recordOutcome(Disconnected, causeNone)
 		} else {
-			c.recordOutcome(Truncated, causeServer)
+			c.recordOutcome(Truncated, truncationCause(cause))
 		}
 	}
 	c.end()
