Keep a stream on its silent server until another one takes it over

What callers saw: beside a server that sent nothing for a second or so and then went on, streams that may be resumed were cut off, and idempotent requests and streams that had not begun got 502 although their time was not over.

Cause: a time-out was taken for the death of the server. The VM closed the exchange after 600 or 800 ms first and looked for another server then. If none had a free slot, all rejected the request or were silent too, or the route's attempts were used up, nothing was left to go back to: the caller's connection was closed, though its server would have gone on. A refusal by the next server also used up an attempt. Class of fault: a failure detector that destroys the only good state before its suspicion is confirmed.

Change: core/guavasilence decides per phase when another server is sought. The exchange stays open meanwhile and is closed only once there is a reservation on another server; in the middle of a stream not before 1.5 s. The last attempt waits for its server: before the first event for 2 s, so that the caller may still repeat the request, after it until the deadline. A broken stream waits for a server until its deadline, since its caller can't be told to retry; refusals and unreachable servers use up no attempt. Streams that may not be resumed are no longer ended by a stall, only by the deadline.

A silence is logged ("server silent") and counted (guavaridge_servers_silent).

--- a/io/guavaedge/metrics.go
+++ b/io/guavaedge/metrics.go
@@ -91,6 +91,7 @@
 		{"guavaridge_vanished", "callers that left", &g.Disconnected},
 		{"guavaridge_repeated", "requests sent to another server", &g.Retried},
 		{"guavaridge_resumed", "streams that went on at another server", &g.Resumed},
+		{"guavaridge_servers_silent", "silences of servers for which another server was sought", &g.Silences},
 		{"guavaridge_connections_rejected", "connections over the limit", &g.Rejected},
 		{"guavaridge_answers_over_budget", "answers of servers that were larger than the memory for them", &e.sender.OverBudget},
 		{"guavaridge_jobs", "jobs that this VM began to run", &l.Jobs},
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavatraffic"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavalisten"
@@ -35,16 +36,18 @@
 
 	runCtx         context.Context
 	cancel         context.CancelCauseFunc
+	interrupt      context.CancelCauseFunc // ends the current attempt
 	conn           *guavalisten.Connection
 	deadline       time.Time
 	isRetry        bool
 	avoid          []string
-	fingerprintSum uint64 // 0 until it is computed
-	executions     int    // number of attempts that may have been executed
-	unexecuted     int    // number of attempts that were not executed
+	fingerprintSum uint64
+	executions     int // number of attempts that may have been executed
+	unexecuted     int // number of attempts that were not executed
 	waited         time.Duration
 	server         string
-	token          guavacoord.Token // of the account's rate limit, if it has one
+	replacement    *guavacoord.Reservation // for the next attempt, nil if it has to be acquired
+	token          guavacoord.Token        // of the account's rate limit, if it has one
 }
 
 // serve responds to the request. A streamed response is completed later, when the HTTP server reads its body.
@@ -153,6 +156,9 @@
 
 // end releases what begin set up.
 func (c *call) end() {
+	if c.replacement != nil {
+		c.replacement.Release(guavaplace.Cancelled, 0)
+	}
 	if c.conn != nil {
 		c.conn.Unwatch()
 	}
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -1,14 +1,17 @@
 package guavagate
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavapoison"
+	"guavaridge/core/guavasilence"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavasend"
 	"guavaridge/io/guavatransport"
@@ -24,10 +27,6 @@
 	nonRepeatableMaxIdle = 400 * time.Millisecond
 	// repeatableMaxIdle bounds the idle time of a reused connection for other requests.
 	repeatableMaxIdle = 2 * time.Second
-	// responseTimeoutFactor is the response timeout as a multiple of the route's latency target.
-	responseTimeoutFactor = 2
-	// minResponseTimeout is the minimum response timeout.
-	minResponseTimeout = 300 * time.Millisecond
 	// maxUnexecuted bounds the number of attempts of a request that are not executed.
 	maxUnexecuted = 4
 	// defaultRetryAfter is the Retry-After time if no better one is known.
@@ -51,6 +50,7 @@
 	c.service = c.route.Service(c.request.ID)
 	// The HTTP server may reuse the context while a stream is still being relayed.
 	c.ctx.Request.CopyTo(&c.message)
+	c.fingerprintSum = c.fingerprint().Sum()
 	for {
 		streaming, retry := c.attempt()
 		if !retry {
@@ -63,7 +63,7 @@
 // attempt acquires a reservation and sends the request. It returns whether the response is streamed, and whether to
 // retry on another server.
 func (c *call) attempt() (streaming, retry bool) {
-	reservation, err := c.acquire()
+	reservation, err := c.nextReservation(c.isRetry)
 	if err != nil {
 		c.failAcquire(err)
 		return false, false
@@ -91,44 +91,56 @@
 	return false, c.relayBuffered(x, reservation)
 }
 
+// nextReservation returns the reservation for the next attempt. See acquire for patient.
+func (c *call) nextReservation(patient bool) (*guavacoord.Reservation, error) {
+	reservation := c.replacement
+	c.replacement = nil
+	if reservation == nil {
+		begin := time.Now()
+		var err error
+		reservation, err = c.acquire(c.runCtx, c.avoid, patient)
+		c.waited = time.Since(c.arrived)
+		c.gate.Metrics.Wait(time.Since(begin).Seconds())
+		if err != nil {
+			return nil, err
+		}
+	}
+	c.server = reservation.Server
+	return reservation, nil
+}
+
 // acquire waits for a reservation on a server that this VM itself knows to be usable, since the coordinator may be
-// partitioned from the store.
-func (c *call) acquire() (*guavacoord.Reservation, error) {
+// partitioned from the store. A patient request waits in overload: it is a retry, or its caller can't be told to retry.
+func (c *call) acquire(ctx context.Context, avoid []string, patient bool) (*guavacoord.Reservation, error) {
 	g := c.gate
 	r := guavaplace.Request{
-		Class: guavaplace.Online, Priority: c.config.Priority(c.route, c.account), Returning: c.isRetry,
+		Class: guavaplace.Online, Priority: c.config.Priority(c.route, c.account), Returning: patient,
 		Tokens: c.request.Tokens, Work: float64(c.request.Output), Affinity: c.request.Affinity,
+		Content: c.fingerprintSum,
 	}
 	if c.request.Hint > 0 {
 		r.Work = float64(c.request.Hint)
 	}
-	if c.fingerprintSum == 0 {
-		c.fingerprintSum = c.fingerprint().Sum()
-	}
-	r.Content = c.fingerprintSum
-	for {
+	for unusable := 0; ; {
 		now := time.Now()
 		remaining := c.deadline.Sub(now)
 		share := maxWaitShare
-		if c.isRetry {
+		if patient {
 			share = retryMaxWaitShare
 		}
 		r.Start = c.route.Target - now.Sub(c.arrived)
 		r.Patience = time.Duration(share * float64(remaining))
-		r.Avoid = c.avoid
-		reservation, err := g.Admission.Acquire(c.runCtx, c.service, r)
-		c.waited = time.Since(c.arrived)
-		g.Metrics.Wait(time.Since(now).Seconds())
+		r.Avoid = avoid
+		reservation, err := g.Admission.Acquire(ctx, c.service, r)
 		if err != nil {
 			return nil, fmt.Errorf("acquire a reservation on %s: %w", c.service, err)
 		}
 		if g.Usable(c.service, reservation.Server) {
-			c.server = reservation.Server
 			return reservation, nil
 		}
 		reservation.Release(guavaplace.Cancelled, 0)
-		c.avoid = append(c.avoid, reservation.Server)
-		if c.unexecuted++; c.unexecuted >= maxUnexecuted {
+		avoid = append(slices.Clip(avoid), reservation.Server)
+		if unusable++; unusable >= maxUnexecuted {
 			return nil, &guavacoord.RefusalError{After: defaultRetryAfter, Reason: "servers unknown here"}
 		}
 	}
@@ -141,11 +153,6 @@
 	return guavapoison.NewFingerprint(name, c.message.Body())
 }
 
-// responseTimeout is the time without a byte of a response after which the server is reported as timed out.
-func (c *call) responseTimeout() time.Duration {
-	return max(time.Duration(responseTimeoutFactor*float64(c.route.Target)), minResponseTimeout)
-}
-
 // send sends the request to the server of the reservation and reads the status and headers of the response.
 func (c *call) send(reservation *guavacoord.Reservation, lastEventID int) (*guavasend.Exchange, error) {
 	q := &fasthttp.Request{}
@@ -156,16 +163,24 @@
 	})
 	r := guavasend.Request{
 		Address: reservation.Address, ID: c.request.ID, IDHeader: c.gate.Protocol.IDHeader(), Message: q,
-		MaxIdle: nonRepeatableMaxIdle,
+		MaxIdle: nonRepeatableMaxIdle, Repeatable: c.route.Repeatable(),
+	}
+	if r.Repeatable {
+		r.MaxIdle = repeatableMaxIdle
 	}
-	// A request that must not be repeated waits until its deadline; a response timeout is only reported to the
-	// coordinator.
-	report := time.AfterFunc(c.responseTimeout(), func() { reservation.Release(guavaplace.TimedOut, 0) })
+	// The coordinator learns of a silent server also if the request waits for it until its deadline.
+	report := time.AfterFunc(guavasilence.ResponseTimeout(c.route), func() { reservation.Release(guavaplace.TimedOut, 0) })
 	defer report.Stop()
-	if c.route.Repeatable() {
-		r.MaxIdle, r.HeaderTimeout, r.Repeatable = repeatableMaxIdle, c.responseTimeout(), true
+	// The exchange ends with this context; its end releases the context of the attempt, that of the call at the latest.
+	ctx, interrupt := context.WithCancelCause(c.runCtx)
+	c.interrupt = interrupt
+	watch := c.watchSilence(guavasilence.Headers, interrupt)
+	x, err := c.gate.Sender.Send(ctx, r)
+	if interrupted := watch.stop(); interrupted && err == nil {
+		x.Close()
+		return nil, &guavasend.Error{Sent: true, Err: errSilent}
 	}
-	return c.gate.Sender.Send(c.runCtx, r) //nolint:wrapcheck // handleSendError unwraps it
+	return x, err //nolint:wrapcheck // handleSendError unwraps it
 }
 
 // handleSendError handles a failed exchange and returns whether to retry on another server.
@@ -180,7 +195,7 @@
 		reservation.Release(guavaplace.Cancelled, 0)
 	case !failure.Sent:
 		reservation.Release(guavaplace.Unreachable, 0)
-	case failure.TimedOut:
+	case errors.Is(err, errSilent):
 		reservation.Release(guavaplace.TimedOut, 0)
 	default:
 		reservation.Release(guavaplace.ConnectionLost, 0)
--- a/io/guavagate/gateway.go
+++ b/io/guavagate/gateway.go
@@ -76,7 +76,7 @@
 
 // Counters are the counters of a Gateway. The fields may be read at any time.
 type Counters struct {
-	Requests, Answered, Refused, Tokens, Limited, Failed, Disconnected, Retried, Resumed, Rejected atomic.Uint64
+	Requests, Answered, Refused, Tokens, Limited, Failed, Disconnected, Retried, Resumed, Silences, Rejected atomic.Uint64
 }
 
 const (
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -12,6 +12,7 @@
 
 	"guavaridge/core/guavaevent"
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavasilence"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavasend"
 )
@@ -19,10 +20,6 @@
 const (
 	// bufferSize is the size in bytes of the buffer for reading streamed responses.
 	bufferSize = 4 << 10
-	// minStallTimeout and stallFactor, a multiple of the route's target, bound the pause between two events of a stream
-	// that cannot be resumed. Its caller has left by then.
-	minStallTimeout = 10 * time.Second
-	stallFactor     = 20
 )
 
 // relayBuffered relays a response that is not a stream. It reads the complete response first, so that the request can
@@ -130,23 +127,20 @@
 	return true, false
 }
 
-// eventTimeout bounds the wait for the next complete event; 0 means no bound. A request that must not be repeated waits
-// for its first event until its deadline, since a server may send the headers long before it begins.
-func (s *stream) eventTimeout() time.Duration {
-	c := s.call
-	switch {
-	case c.route.Repeatable():
-		return max(2*c.route.GapTarget, c.responseTimeout())
-	case s.events == 0:
-		return 0
+// phase returns what of the response is awaited.
+func (s *stream) phase() guavasilence.Phase {
+	if s.events == 0 {
+		return guavasilence.FirstEvent
 	}
-	return max(stallFactor*c.route.GapTarget, minStallTimeout)
+	return guavasilence.NextEvent
 }
 
-// fill reads until there is a complete event or the response ends.
+// fill reads until there is a complete event or the response ends. A silent server is left only for another one that
+// can go on.
 func (s *stream) fill() error {
-	if err := s.exchange.SetReadTimeout(s.eventTimeout()); err != nil {
-		return err //nolint:wrapcheck // it says that the deadline was not set
+	if s.events == 0 || s.lastEventID >= 0 {
+		watch := s.call.watchSilence(s.phase(), s.call.interrupt)
+		defer watch.stop()
 	}
 	for len(s.pending) == 0 && !s.done {
 		n, err := s.exchange.Read(s.buffer)
@@ -208,62 +202,102 @@
 	return n, nil
 }
 
-// resume continues the stream on another server after the last complete event, if the route allows it.
+// resume continues the stream on another server after the last complete event, if the route allows it. The caller has
+// the begin of the response already and can't be told to retry, so it waits for a server until its deadline.
 func (s *stream) resume(cause error) error {
 	c := s.call
 	s.exchange.Close()
-	ended := c.runCtx.Err() != nil
-	if ended {
+	if c.runCtx.Err() != nil {
 		s.reservation.Release(guavaplace.Cancelled, 0)
 		return fmt.Errorf("request ended during the stream: %w: %w", context.Cause(c.runCtx), cause)
 	}
-	s.reservation.Release(guavaplace.ConnectionLost, 0)
+	outcome := guavaplace.ConnectionLost
+	if c.replacement != nil {
+		outcome = guavaplace.TimedOut
+	}
+	s.reservation.Release(outcome, 0)
 	if !c.route.Repeatable() || s.lastEventID < 0 {
 		return fmt.Errorf("stream not resumed: %w: %w", errNotResumable, cause)
 	}
-	for {
-		c.executions++
-		c.avoid = append(c.avoid, c.server)
-		if c.executions >= c.route.Attempts {
-			return fmt.Errorf("stream not resumed: %w: %w", errNoAttemptsLeft, cause)
+	c.executions++
+	c.avoid = append(c.avoid, c.server)
+	for c.executions < c.route.Attempts {
+		reservation, err := c.nextReservation(true)
+		if err == nil {
+			c.log("resume", "after", s.lastEventID, "silent", time.Since(s.lastEventAt).Milliseconds(), "runs", c.executions,
+				"cause", cause.Error())
+			if err = s.resumeOn(reservation); err == nil {
+				c.gate.Counters.Resumed.Add(1)
+				return nil
+			}
+			cause = err
 		}
-		c.log("resume", "after", s.lastEventID, "silent", time.Since(s.lastEventAt).Milliseconds(), "runs", c.executions,
-			"cause", cause.Error())
-		c.gate.Counters.Resumed.Add(1)
-		reservation, err := c.acquire()
-		if err != nil {
-			return fmt.Errorf("stream not resumed: %w: %w: %w", errNoServer, err, cause)
+		if c.runCtx.Err() != nil {
+			return fmt.Errorf("stream not resumed: %w: %w: %w: %w", errNoServer, context.Cause(c.runCtx), err, cause)
 		}
-		x, err := c.send(reservation, s.lastEventID)
-		if err != nil {
-			reservation.Release(guavaplace.ConnectionLost, 0)
-			cause = err
+		if c.replacement != nil {
 			continue
 		}
-		info := c.gate.Protocol.DecodeResponse(&x.Response.Header)
-		reservation.Started(info.Load)
-		if x.Response.StatusCode() != fasthttp.StatusOK {
-			cause = fmt.Errorf("status %d", x.Response.StatusCode())
-			x.Close()
-			reservation.Release(guavaplace.Shed, 0)
-			continue
+		if refusal := (*guavacoord.RefusalError)(nil); errors.As(err, &refusal) {
+			c.avoid = nil // those that failed before may serve again
+		}
+		pauseSeek(c.runCtx, err)
+	}
+	return fmt.Errorf("stream not resumed: %w: %w", errNoAttemptsLeft, cause)
+}
+
+// resumeOn sends the request for the rest of the stream to the server of a reservation.
+func (s *stream) resumeOn(reservation *guavacoord.Reservation) error {
+	c := s.call
+	x, err := c.send(reservation, s.lastEventID)
+	if err != nil {
+		outcome := guavaplace.ConnectionLost
+		var failure *guavasend.Error
+		switch {
+		case errors.As(err, &failure) && !failure.Sent:
+			outcome = guavaplace.Unreachable
+		case errors.Is(err, errSilent):
+			outcome = guavaplace.TimedOut
+		}
+		reservation.Release(outcome, 0)
+		if outcome != guavaplace.Unreachable {
+			c.executions++
 		}
+		c.avoid = append(c.avoid, c.server)
+		return err
+	}
+	info := c.gate.Protocol.DecodeResponse(&x.Response.Header)
+	reservation.Started(info.Load)
+	status := x.Response.StatusCode()
+	if status == fasthttp.StatusOK && !info.Misdirected && !info.NotExecuted {
 		s.exchange, s.reservation, s.splitter, s.readErr = x, reservation, guavaevent.Splitter{}, nil
 		return nil
 	}
+	x.Close()
+	switch {
+	case info.Misdirected:
+		reservation.Release(guavaplace.Misdirected, 0)
+	case info.NotExecuted:
+		reservation.Release(guavaplace.Shed, 0)
+	default:
+		reservation.Release(guavaplace.Failed, 0)
+		c.executions++
+	}
+	c.avoid = append(c.avoid, c.server)
+	return fmt.Errorf("status %d", status)
 }
 
 // truncationCause returns the label of a truncated stream's metric for its error.
 func truncationCause(err error) string {
 	switch {
-	case errors.Is(err, errDeadline):
-		return causeDeadline
-	case errors.Is(err, errClosing):
-		return causeClosing
 	case errors.Is(err, errNoAttemptsLeft):
 		return causeAttempts
 	case errors.Is(err, errNoServer):
 		return causeNoServer
+	case errors.Is(err, errDeadline):
+		return causeDeadline
+	case errors.Is(err, errClosing):
+		return causeClosing
 	}
 	return causeServer
 }
