Refuse requests that a stopping VM may not have time to finish

What callers saw: a request accepted near the end of the 3.3 s in which a stopping VM still takes connections lost its connection without a response when the VM closed, 7.3 s after SIGTERM.

Cause: the VM accepted requests whose deadline was after its own end, and closed all connections at the moment at which it cancelled the requests on them, so that not even a failure was written.

Change: a stopping VM refuses (503, not executed, retry at once) what may outlast its grace period, and gives cancelled requests up to 100 ms to write their response before it closes the connections. The reserve at the end of the grace period shrinks from 0.7 to 0.3 s, which exit and these 100 ms need, so that requests with 5 s are still accepted for 2.7 s.

--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -67,7 +67,7 @@
 	// apart, to stop sending them.
 	drainDelay = 3300 * time.Millisecond
 	// shutdownMargin is the last part of the grace period, reserved for the exit of the process.
-	shutdownMargin = 700 * time.Millisecond
+	shutdownMargin = 300 * time.Millisecond
 	// backgroundTimeout bounds the wait for background work after the last request. Store calls in flight cannot be
 	// cancelled; abandoning them has no side effects.
 	backgroundTimeout = 50 * time.Millisecond
@@ -346,7 +346,8 @@
 	}
 	begin := time.Now()
 	e.logger.Info("drain", "running", e.gate.Running(), "jobs", e.batch.Running())
-	e.gate.Drain()
+	end := begin.Add(seconds(e.settings.Grace) - shutdownMargin)
+	e.gate.Drain(end)
 	var handover sync.WaitGroup
 	handover.Go(func() {
 		e.registry.removeSelf()
@@ -359,7 +360,7 @@
 	case <-ctx.Done():
 		return
 	}
-	ctx, stop := context.WithDeadline(ctx, begin.Add(seconds(e.settings.Grace)-shutdownMargin))
+	ctx, stop := context.WithDeadline(ctx, end)
 	defer stop()
 	err := e.gate.Shutdown(ctx)
 	e.logger.Info("drained", "running", e.gate.Running(), "after", time.Since(begin).Milliseconds(), "error", err)
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -56,6 +56,11 @@
 		return
 	}
 	c.begin()
+	if c.request.Operation == Forward && c.route.Kind != guavatraffic.Batch && c.gate.outlastsDrain(c.deadline) {
+		c.refuse(fasthttp.StatusServiceUnavailable, unknownRetryAfter, "draining")
+		c.end()
+		return
+	}
 	if c.request.Operation != Forward {
 		defer c.end()
 		c.gate.Jobs.Serve(c.runCtx, c.ctx, c.request, c.account)
--- a/io/guavagate/gateway.go
+++ b/io/guavagate/gateway.go
@@ -92,6 +92,10 @@
 	idleMargin  = 5 * time.Second
 	// unknownRetryAfter is the Retry-After time of a VM without a current configuration. The retry reaches another VM.
 	unknownRetryAfter = 30 * time.Millisecond
+	// closeTimeout bounds the time in which the requests that Close ends may still respond.
+	closeTimeout = 100 * time.Millisecond
+	// closePollInterval is the interval at which Close checks whether there are such requests.
+	closePollInterval = 5 * time.Millisecond
 )
 
 // Causes of the cancellation of a request.
@@ -110,6 +114,7 @@
 	base     context.Context
 	stop     context.CancelCauseFunc
 	draining atomic.Bool
+	drainEnd atomic.Int64 // when Close follows a drain, in Unix nanoseconds; 0 if unknown
 	running  atomic.Int64
 
 	mu             sync.Mutex
@@ -152,8 +157,18 @@
 	return err //nolint:wrapcheck // the caller says which listener it was
 }
 
-// Drain makes responses close their connections, so that callers send further requests to other VMs.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// Drain makes responses close their connections, so that callers send further requests to other VMs, and refuses
+// requests that may last until the given time, at which the gateway will be closed.
+func (g *Gateway) Drain(end time.Time) {
+	g.drainEnd.Store(end.UnixNano())
+	g.draining.Store(true)
+}
+
+// outlastsDrain reports whether a request with the given deadline may still run when the gateway is closed.
+func (g *Gateway) outlastsDrain(deadline time.Time) bool {
+	end := g.drainEnd.Load()
+	return end > 0 && deadline.UnixNano() > end
+}
 
 // Shutdown closes idle connections and waits for the others to end, at most until ctx ends. A caller that sends a
 // request while its idle connection is closed learns that the request was not read.
@@ -167,10 +182,13 @@
 // Running returns the number of requests that are being served.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
-// Close ends all requests and connections.
+// Close ends all requests and connections. Requests without a response get one first.
 func (g *Gateway) Close() {
 	g.draining.Store(true)
 	g.stop(errClosing)
+	for end := time.Now().Add(closeTimeout); g.Running() > 0 && time.Now().Before(end); {
+		time.Sleep(closePollInterval)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range g.listeners {
