--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 
 	"guavaridge/core/guavaevent"
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavasilence"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavasend"
 )
@@ -18,10 +20,6 @@
 const (
 	// bufferSize is the size in bytes of the buffer for reading streamed responses.
 	bufferSize = 4 << 10
-	// minStallTimeout and stallFactor, a multiple of the route's target, bound the pause between two events of a stream
-	// that cannot be resumed. Its caller has left by then.
-	minStallTimeout = 10 * time.Second
-	stallFactor     = 20
 )
 
 // relayBuffered relays a response that is not a stream. It reads the complete response first, so that the request can
@@ -85,6 +83,13 @@
 	}
 }
 
+// Causes of streams that are not resumed on another server.
+var (
+	errNotResumable   = errors.New("the route does not allow it, or no event was received")
+	errNoAttemptsLeft = errors.New("no attempt left")
+	errNoServer       = errors.New("no server for the rest")
+)
+
 // errNoEvents means that a stream ended before its first event. No request causes that, so the server has failed.
 var errNoEvents = errors.New("stream without events")
 
@@ -98,6 +103,7 @@
 	pending     []byte // complete events that were not yet relayed
 	lastEventID int    // ID of the last complete event, -1 for none
 	events      int
+	lastEventAt time.Time
 	buffer      []byte
 	done        bool
 	readErr     error
@@ -107,7 +113,8 @@
 // to retry on another server.
 func (c *call) relayStream(x *guavasend.Exchange, reservation *guavacoord.Reservation) (streaming, retry bool) {
 	s := &stream{
-		call: c, exchange: x, reservation: reservation, lastEventID: c.request.LastEventID, buffer: make([]byte, bufferSize),
+		call: c, exchange: x, reservation: reservation, lastEventID: c.request.LastEventID, lastEventAt: time.Now(),
+		buffer: make([]byte, bufferSize),
 	}
 	response := x.Response // the first fill may finish a short response, which clears it
 	if err := s.fill(); err != nil {
@@ -120,23 +127,20 @@
 	return true, false
 }
 
-// eventTimeout bounds the wait for the next complete event; 0 means no bound. A request that must not be repeated waits
-// for its first event until its deadline, since a server may send the headers long before it begins.
-func (s *stream) eventTimeout() time.Duration {
-	c := s.call
-	switch {
-	case c.route.Repeatable():
-		return max(2*c.route.GapTarget, c.responseTimeout())
-	case s.events == 0:
-		return 0
+// phase returns what of the response is awaited.
+func (s *stream) phase() guavasilence.Phase {
+	if s.events == 0 {
+		return guavasilence.FirstEvent
 	}
-	return max(stallFactor*c.route.GapTarget, minStallTimeout)
+	return guavasilence.NextEvent
 }
 
-// fill reads until there is a complete event or the response ends.
+// fill reads until there is a complete event or the response ends. A silent server is left only for another one that
+// can go on.
 func (s *stream) fill() error {
-	if err := s.exchange.SetReadTimeout(s.eventTimeout()); err != nil {
-		return err //nolint:wrapcheck // it says that the deadline was not set
+	if s.events == 0 || s.lastEventID >= 0 {
+		watch := s.call.watchSilence(s.phase(), s.call.interrupt)
+		defer watch.stop()
 	}
 	for len(s.pending) == 0 && !s.done {
 		n, err := s.exchange.Read(s.buffer)
@@ -148,6 +152,7 @@
 			}
 			s.pending = append(s.pending, e.Raw...)
 			s.events++
+			s.lastEventAt = time.Now()
 			if e.ID >= 0 {
 				s.lastEventID = e.ID
 			}
@@ -187,6 +192,7 @@
 		}
 		if err != nil {
 			if err := s.resume(err); err != nil {
+				s.readErr = err
 				return 0, err
 			}
 		}
@@ -196,46 +202,104 @@
 	return n, nil
 }
 
-// resume continues the stream on another server after the last complete event, if the route allows it.
+// resume continues the stream on another server after the last complete event, if the route allows it. The caller has
+// the begin of the response already and can't be told to retry, so it waits for a server until its deadline.
 func (s *stream) resume(cause error) error {
 	c := s.call
 	s.exchange.Close()
-	ended := c.runCtx.Err() != nil
-	if ended {
+	if c.runCtx.Err() != nil {
 		s.reservation.Release(guavaplace.Cancelled, 0)
-		return fmt.Errorf("request ended during the stream: %w", cause)
+		return fmt.Errorf("request ended during the stream: %w: %w", context.Cause(c.runCtx), cause)
 	}
-	s.reservation.Release(guavaplace.ConnectionLost, 0)
-	for c.route.Repeatable() && s.lastEventID >= 0 {
-		c.executions++
-		c.avoid = append(c.avoid, c.server)
-		if c.executions >= c.route.Attempts {
-			break
+	outcome := guavaplace.ConnectionLost
+	if c.replacement != nil {
+		outcome = guavaplace.TimedOut
+	}
+	s.reservation.Release(outcome, 0)
+	if !c.route.Repeatable() || s.lastEventID < 0 {
+		return fmt.Errorf("stream not resumed: %w: %w", errNotResumable, cause)
+	}
+	c.executions++
+	c.avoid = append(c.avoid, c.server)
+	for c.executions < c.route.Attempts {
+		reservation, err := c.nextReservation(true)
+		if err == nil {
+			c.log("resume", "after", s.lastEventID, "silent", time.Since(s.lastEventAt).Milliseconds(), "runs", c.executions,
+				"cause", cause.Error())
+			if err = s.resumeOn(reservation); err == nil {
+				c.gate.Counters.Resumed.Add(1)
+				return nil
+			}
+			cause = err
 		}
-		c.log("resume", "after", s.lastEventID, "cause", cause.Error())
-		c.gate.Counters.Resumed.Add(1)
-		reservation, err := c.acquire()
-		if err != nil {
-			return fmt.Errorf("resume the stream: %w", err)
+		if c.runCtx.Err() != nil {
+			return fmt.Errorf("stream not resumed: %w: %w: %w: %w", errNoServer, context.Cause(c.runCtx), err, cause)
 		}
-		x, err := c.send(reservation, s.lastEventID)
-		if err != nil {
-			reservation.Release(guavaplace.ConnectionLost, 0)
-			cause = err
+		if c.replacement != nil {
 			continue
 		}
-		info := c.gate.Protocol.DecodeResponse(&x.Response.Header)
-		reservation.Started(info.Load)
-		if x.Response.StatusCode() != fasthttp.StatusOK {
-			cause = fmt.Errorf("status %d", x.Response.StatusCode())
-			x.Close()
-			reservation.Release(guavaplace.Shed, 0)
-			continue
+		if refusal := (*guavacoord.RefusalError)(nil); errors.As(err, &refusal) {
+			c.avoid = nil // those that failed before may serve again
+		}
+		pauseSeek(c.runCtx, err)
+	}
+	return fmt.Errorf("stream not resumed: %w: %w", errNoAttemptsLeft, cause)
+}
+
+// resumeOn sends the request for the rest of the stream to the server of a reservation.
+func (s *stream) resumeOn(reservation *guavacoord.Reservation) error {
+	c := s.call
+	x, err := c.send(reservation, s.lastEventID)
+	if err != nil {
+		outcome := guavaplace.ConnectionLost
+		var failure *guavasend.Error
+		switch {
+		case errors.As(err, &failure) && !failure.Sent:
+			outcome = guavaplace.Unreachable
+		case errors.Is(err, errSilent):
+			outcome = guavaplace.TimedOut
 		}
+		reservation.Release(outcome, 0)
+		if outcome != guavaplace.Unreachable {
+			c.executions++
+		}
+		c.avoid = append(c.avoid, c.server)
+		return err
+	}
+	info := c.gate.Protocol.DecodeResponse(&x.Response.Header)
+	reservation.Started(info.Load)
+	status := x.Response.StatusCode()
+	if status == fasthttp.StatusOK && !info.Misdirected && !info.NotExecuted {
 		s.exchange, s.reservation, s.splitter, s.readErr = x, reservation, guavaevent.Splitter{}, nil
 		return nil
 	}
-	return fmt.Errorf("stream failed and was not resumed: %w", cause)
+	x.Close()
+	switch {
+	case info.Misdirected:
+		reservation.Release(guavaplace.Misdirected, 0)
+	case info.NotExecuted:
+		reservation.Release(guavaplace.Shed, 0)
+	default:
+		reservation.Release(guavaplace.Failed, 0)
+		c.executions++
+	}
+	c.avoid = append(c.avoid, c.server)
+	return fmt.Errorf("status %d", status)
+}
+
+// truncationCause returns the label of a truncated stream's metric for its error.
+func truncationCause(err error) string {
+	switch {
+	case errors.Is(err, errNoAttemptsLeft):
+		return causeAttempts
+	case errors.Is(err, errNoServer):
+		return causeNoServer
+	case errors.Is(err, errDeadline):
+		return causeDeadline
+	case errors.Is(err, errClosing):
+		return causeClosing
+	}
+	return causeServer
 }
 
 // Close implements io.Closer for the HTTP server, which calls it when the response is complete or the caller has
@@ -255,11 +319,12 @@
 			cause = errDisconnected
 		}
 		c.gate.Counters.Failed.Add(1)
-		c.log("stream aborted", "events", s.events, "cause", cause.Error())
+		c.log("stream aborted", "events", s.events, "silent", time.Since(s.lastEventAt).Milliseconds(), "runs", c.executions+1,
+			"cause", cause.Error())
 		if errors.Is(cause, errDisconnected) {
 			c.recordOutcome(Disconnected, causeNone)
 		} else {
-			c.recordOutcome(Truncated, causeServer)
+			c.recordOutcome(Truncated, truncationCause(cause))
 		}
 	}
 	c.end()
