Wait for the last server of a stream that goes on until the deadline

A stream that had moved to another server was cut off when that one sent no headers for 2 s, the bound for requests whose caller has received nothing and may repeat them. The caller of a stream that has begun can't.

The headers of the rest of a stream are a phase of their own: without another attempt they are awaited until the deadline. A run that the end of the request interrupts is reported as cancelled, not as a lost connection.

--- a/core/guavasilence/silence.go
+++ b/core/guavasilence/silence.go
@@ -32,6 +32,8 @@
 const (
 	// Headers are awaited after the request was sent.
 	Headers Phase = "headers"
+	// ResumedHeaders are awaited after the request for the rest of a stream was sent.
+	ResumedHeaders Phase = "headers of the rest"
 	// FirstEvent of a stream is awaited after its headers.
 	FirstEvent Phase = "first event"
 	// NextEvent of a stream is awaited after events that the caller may have received.
@@ -55,15 +57,15 @@
 // LimitsOf returns the limits of a request that was sent to the given number of servers that may have executed it,
 // including the silent one.
 //
-// A request that has no attempt left waits for its last server. Before the first event, its caller may repeat it, so
-// that the wait ends when the server is no longer likely to be sound.
+// A request that has no attempt left waits for its last server. A caller that has received nothing yet may repeat the
+// request, so that the wait ends when the server is no longer likely to be sound.
 func LimitsOf(r guavatraffic.Route, p Phase, attempts int) Limits {
 	if !r.Repeatable() {
 		return Limits{}
 	}
 	last := attempts >= r.Attempts
 	switch {
-	case last && p == NextEvent:
+	case last && (p == NextEvent || p == ResumedHeaders):
 		return Limits{}
 	case last:
 		return Limits{Fail: max(ResponseTimeout(r), maxSound)}
--- a/core/guavasilence/silence_test.go
+++ b/core/guavasilence/silence_test.go
@@ -32,6 +32,8 @@
 		{"headers, another attempt left", idempotent, guavasilence.Headers, 2, guavasilence.Limits{Replace: 300 * ms}},
 		{"headers, last attempt", idempotent, guavasilence.Headers, 3, guavasilence.Limits{Fail: 2000 * ms}},
 		{"headers of a stream", stream, guavasilence.Headers, 1, guavasilence.Limits{Replace: 600 * ms}},
+		{"headers of the rest", stream, guavasilence.ResumedHeaders, 1, guavasilence.Limits{Replace: 600 * ms}},
+		{"headers of the rest, last attempt", stream, guavasilence.ResumedHeaders, 2, guavasilence.Limits{}},
 		{"first event", stream, guavasilence.FirstEvent, 1, guavasilence.Limits{Replace: 800 * ms}},
 		{"first event, last attempt", stream, guavasilence.FirstEvent, 2, guavasilence.Limits{Fail: 2000 * ms}},
 		{"next event", stream, guavasilence.NextEvent, 1, guavasilence.Limits{Replace: 1500 * ms}},
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -68,7 +68,7 @@
 		c.failAcquire(err)
 		return false, false
 	}
-	x, err := c.send(reservation, c.request.LastEventID)
+	x, err := c.send(reservation, c.request.LastEventID, guavasilence.Headers)
 	if err != nil {
 		return false, c.handleSendError(reservation, err)
 	}
@@ -153,8 +153,11 @@
 	return guavapoison.NewFingerprint(name, c.message.Body())
 }
 
-// send sends the request to the server of the reservation and reads the status and headers of the response.
-func (c *call) send(reservation *guavacoord.Reservation, lastEventID int) (*guavasend.Exchange, error) {
+// send sends the request to the server of the reservation and reads the status and headers of the response, which are
+// the given phase.
+func (c *call) send(
+	reservation *guavacoord.Reservation, lastEventID int, p guavasilence.Phase,
+) (*guavasend.Exchange, error) {
 	q := &fasthttp.Request{}
 	c.message.CopyTo(q)
 	guavatransport.StripHop(&q.Header) // before Prepare: Connection may name headers that it sets
@@ -174,7 +177,7 @@
 	// The exchange ends with this context; its end releases the context of the attempt, that of the call at the latest.
 	ctx, interrupt := context.WithCancelCause(c.runCtx)
 	c.interrupt = interrupt
-	watch := c.watchSilence(guavasilence.Headers, interrupt)
+	watch := c.watchSilence(p, interrupt)
 	x, err := c.gate.Sender.Send(ctx, r)
 	if interrupted := watch.stop(); interrupted && err == nil {
 		x.Close()
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -249,11 +249,13 @@
 // resumeOn sends the request for the rest of the stream to the server of a reservation.
 func (s *stream) resumeOn(reservation *guavacoord.Reservation) error {
 	c := s.call
-	x, err := c.send(reservation, s.lastEventID)
+	x, err := c.send(reservation, s.lastEventID, guavasilence.ResumedHeaders)
 	if err != nil {
 		outcome := guavaplace.ConnectionLost
 		var failure *guavasend.Error
 		switch {
+		case c.runCtx.Err() != nil:
+			outcome = guavaplace.Cancelled
 		case errors.As(err, &failure) && !failure.Sent:
 			outcome = guavaplace.Unreachable
 		case errors.Is(err, errSilent):
