Send nothing more to a server that says in a response that it is leaving

When several servers of a service left at once and refused new requests with that header, requests were refused with 503 although another server had free slots.

Cause: the header was not read, and a VM knew only of the states in the store. An attempt that a leaving server refused, or a reservation on a server that the VM's own list shows as leaving, counted against the four attempts of a request.

The roster keeps the notice of the server's incarnation (ID, address and start time as of the reservation), which therefore outlives changes, lapses and returns of the entry and does not apply to a restarted server. Servers with a notice are leaving in the VM's list, so its gateway and jobs reject reservations on them and its own schedulers grant none, with or without contact to others. Reports to the coordinator carry the notice before the next submission on the same link, and so does the message by which a VM joins a new coordinator. Rejections of leaving servers no longer count against the attempts of a request; each server can cause one at most, since the request avoids it afterwards. Notices of servers that are no longer listed are bounded to 1,000, oldest dropped first.

A reservation by an older coordinator has no start time and stands for the listed incarnation at its address.

--- a/core/guavaplace/dispatch.go
+++ b/core/guavaplace/dispatch.go
@@ -129,8 +129,8 @@
 	v.add(r)
 	s.paths.startProbe(w.Domain, v.Domain)
 	s.decide(Decision{
-		Key: w.Key, Action: Run, Server: v.ID, Address: v.Address, Waited: now.Sub(w.arrivedAt),
-		Expected: s.estimates[w.Class].firstByte(),
+		Key: w.Key, Action: Run, Server: v.ID, Address: v.Address, Born: v.Born,
+		Waited: now.Sub(w.arrivedAt), Expected: s.estimates[w.Class].firstByte(),
 	})
 }
 
--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -73,6 +73,8 @@
 	// Server and Address are those of the server that runs the request.
 	Server  string
 	Address string
+	// Born is the start time of the server, as in guavatraffic.Server.
+	Born int64
 	// Expected is the expected time from now to the first byte of the response to a request that runs.
 	Expected time.Duration
 	// After is the time after which the caller of a refused request may retry.
--- a/core/guavaplace/scheduler_test.go
+++ b/core/guavaplace/scheduler_test.go
@@ -417,3 +417,19 @@
 	want(t, "after the takeover", s.Tick(epoch), "5 yield", "4 yield", "3 yield")
 	want(t, "online request", s.Submit(at(time.Millisecond), online(7)), "2 yield", "7 run")
 }
+
+// TestGrantNamesIncarnation guards against grants that do not tell a restarted server from its previous process, so that
+// a VM would apply what the server says in its response to the wrong one, and against grants of a server that said that
+// it is leaving.
+func TestGrantNamesIncarnation(t *testing.T) {
+	s := newScheduler(2, 4)
+	list := servers(2, 4)
+	list[0].Born, list[1].Leaving = 7, true
+	s.SetServers(at(time.Millisecond), list, guavatraffic.Service{Name: "m"})
+	for n := range uint64(4) {
+		d := s.Submit(at(2*time.Millisecond), online(n))
+		if len(d) != 1 || d[0].Action != guavaplace.Run || d[0].Server != "s0" || d[0].Born != 7 {
+			t.Errorf("request %d: got %+v, want a run on s0 started at 7", n, d)
+		}
+	}
+}
--- a/core/guavaroster/roster.go
+++ b/core/guavaroster/roster.go
@@ -1,8 +1,10 @@
-// Package guavaroster maintains the list of backend servers from the entries that they renew in the store.
+// Package guavaroster maintains the list of backend servers from the entries that they renew in the store, and from the
+// leaving notices in their responses.
 package guavaroster
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"guavaridge/core/guavatraffic"
@@ -14,18 +16,26 @@
 	removalDelay = 2 * time.Second
 	// outageWindow is the time after a store failure in which a removal counts as its consequence.
 	outageWindow = 1500 * time.Millisecond
+	// maxNotices is the number of leaving notices above which those of servers without an entry are dropped, oldest first.
+	// They are kept that long because an entry that expired in an outage may return.
+	maxNotices = 1000
 )
 
 // Roster is the list of backend servers. It is not safe for concurrent use.
 type Roster struct {
 	servers          map[string]guavatraffic.Server
-	pendingRemoval   map[string]time.Time // servers without an entry, with the time of their removal
-	lastStoreFailure time.Time            // when the store last failed
+	notices          map[guavatraffic.Incarnation]bool // shared with lists, so it is replaced instead of changed
+	noticeOrder      []guavatraffic.Incarnation        // oldest first
+	pendingRemoval   map[string]time.Time              // servers without an entry, with the time of their removal
+	lastStoreFailure time.Time                         // when the store last failed
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{servers: map[string]guavatraffic.Server{}, pendingRemoval: map[string]time.Time{}}
+	return &Roster{
+		servers: map[string]guavatraffic.Server{}, notices: map[guavatraffic.Incarnation]bool{},
+		pendingRemoval: map[string]time.Time{},
+	}
 }
 
 // RecordStoreFailure records that the store does not respond.
@@ -41,14 +51,13 @@
 }
 
 // Remove records that a server's entry was removed and reports whether the list changed. A server is removed from the
-// list at once when it has announced that it is leaving or when the store has not failed recently. Otherwise Expire
-// removes it later.
+// list at once when it is leaving or when the store has not failed recently. Otherwise Expire removes it later.
 func (r *Roster) Remove(now time.Time, id string) bool {
 	s, ok := r.servers[id]
 	if !ok {
 		return false
 	}
-	if !s.Leaving && !r.lastStoreFailure.IsZero() && now.Sub(r.lastStoreFailure) < outageWindow {
+	if !r.isLeaving(s) && !r.lastStoreFailure.IsZero() && now.Sub(r.lastStoreFailure) < outageWindow {
 		if _, pending := r.pendingRemoval[id]; !pending {
 			r.pendingRemoval[id] = now.Add(removalDelay)
 		}
@@ -91,5 +100,58 @@
 // PendingRemovals returns the number of servers without an entry that are not removed from the list yet.
 func (r *Roster) PendingRemovals() int { return len(r.pendingRemoval) }
 
-// ByID returns a copy of the list by server ID.
-func (r *Roster) ByID() map[string]guavatraffic.Server { return maps.Clone(r.servers) }
+// RecordNotice records that a server said in a response that it is leaving, and reports whether that was unknown. The
+// notice stays in force while the server's entry changes, lapses or returns, and does not apply to another incarnation of
+// the server. An incarnation without a start time is the listed one, if that has the same address.
+func (r *Roster) RecordNotice(i guavatraffic.Incarnation) bool {
+	if i.Born == 0 {
+		s, ok := r.servers[i.ID]
+		if !ok || s.Address != i.Address {
+			return false
+		}
+		i = s.Incarnation()
+	}
+	if r.notices[i] {
+		return false
+	}
+	r.notices = maps.Clone(r.notices)
+	r.notices[i] = true
+	r.noticeOrder = append(r.noticeOrder, i)
+	if len(r.noticeOrder) > maxNotices {
+		r.dropNotice()
+	}
+	return true
+}
+
+// dropNotice drops the oldest notice of a server without an entry, if there is one.
+func (r *Roster) dropNotice() {
+	k := slices.IndexFunc(r.noticeOrder, func(i guavatraffic.Incarnation) bool {
+		s, ok := r.servers[i.ID]
+		return !ok || s.Incarnation() != i
+	})
+	if k >= 0 {
+		delete(r.notices, r.noticeOrder[k])
+		r.noticeOrder = slices.Delete(r.noticeOrder, k, k+1)
+	}
+}
+
+// isLeaving reports whether a server is leaving, by its entry or by a notice.
+func (r *Roster) isLeaving(s guavatraffic.Server) bool {
+	return s.Leaving || r.notices[s.Incarnation()]
+}
+
+// Entry returns the entry of a server. A server with a leaving notice may have an entry of one that is not leaving.
+func (r *Roster) Entry(id string) (guavatraffic.Server, bool) {
+	s, ok := r.servers[id]
+	return s, ok
+}
+
+// List returns the current list.
+func (r *Roster) List() *List {
+	l := &List{servers: maps.Clone(r.servers), notices: r.notices}
+	for id, s := range l.servers {
+		s.Leaving = r.isLeaving(s)
+		l.servers[id] = s
+	}
+	return l
+}
--- a/core/guavaroster/roster_test.go
+++ b/core/guavaroster/roster_test.go
@@ -1,7 +1,6 @@
 package guavaroster_test
 
 import (
-	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -15,7 +14,13 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func names(r *guavaroster.Roster) []string {
-	return slices.Sorted(maps.Keys(r.ByID()))
+	servers := r.List().Servers()
+	list := make([]string, 0, len(servers))
+	for _, s := range servers {
+		list = append(list, s.ID)
+	}
+	slices.Sort(list)
+	return list
 }
 
 // TestRemovals guards against servers that stay in the list after their entry was removed while the store was
@@ -63,6 +68,131 @@
 	}
 }
 
+// leaving returns the IDs of the listed servers that are leaving.
+func leaving(r *guavaroster.Roster) []string {
+	var list []string
+	for _, s := range r.List().Servers() {
+		if s.Leaving {
+			list = append(list, s.ID)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// TestNotice guards against a server that is used again although it said that it is leaving, because its entry changes,
+// lapses or returns, and against a server that is not used after a restart because of its previous process.
+func TestNotice(t *testing.T) {
+	first := guavatraffic.Server{ID: "a", Service: "m", Address: "10.0.0.1:80", Born: 1}
+	restarted, moved, warm := first, first, first
+	restarted.Born, moved.Address, warm.Cold = 2, "10.0.0.2:80", time.Second
+	other := guavatraffic.Server{ID: "b", Service: "m", Address: "10.0.0.3:80", Born: 1}
+	lapse := func(r *guavaroster.Roster, now time.Time) {
+		r.RecordStoreFailure(now)
+		r.Replace(now, []guavatraffic.Server{other})
+		r.Expire(now.Add(time.Minute))
+	}
+	cases := []struct {
+		name   string
+		notice guavatraffic.Incarnation
+		change func(r *guavaroster.Roster)
+		want   []string
+	}{
+		{"no change", first.Incarnation(), func(*guavaroster.Roster) {}, []string{"a"}},
+		{"entry changed", first.Incarnation(), func(r *guavaroster.Roster) { r.Put(warm) }, []string{"a"}},
+		{"entry lapsed", first.Incarnation(), func(r *guavaroster.Roster) { lapse(r, epoch) }, nil},
+		{"entry lapsed and back", first.Incarnation(), func(r *guavaroster.Roster) {
+			lapse(r, epoch)
+			r.Put(first)
+		}, []string{"a"}},
+		{"restarted", first.Incarnation(), func(r *guavaroster.Roster) { r.Put(restarted) }, nil},
+		{"restarted at another address", first.Incarnation(), func(r *guavaroster.Roster) { r.Put(moved) }, nil},
+		{"notice before the entry", restarted.Incarnation(), func(r *guavaroster.Roster) { r.Put(restarted) }, []string{"a"}},
+		{"late notice of the previous process", restarted.Incarnation(), func(r *guavaroster.Roster) {
+			r.Put(moved)
+			r.RecordNotice(first.Incarnation())
+		}, nil},
+		{"start time unknown", guavatraffic.Incarnation{ID: "a", Address: first.Address}, func(r *guavaroster.Roster) { r.Put(warm) }, []string{"a"}},
+		{"start time unknown, another address", guavatraffic.Incarnation{ID: "a", Address: moved.Address}, func(*guavaroster.Roster) {}, nil},
+		{"unknown server", guavatraffic.Incarnation{ID: "c", Born: 1}, func(*guavaroster.Roster) {}, nil},
+	}
+	for _, c := range cases {
+		r := guavaroster.New()
+		r.Put(first)
+		r.Put(other)
+		r.RecordNotice(c.notice)
+		c.change(r)
+		if diff := cmp.Diff(c.want, leaving(r)); diff != "" {
+			t.Errorf("%s: leaving servers (-want +got):\n%s", c.name, diff)
+		}
+		if r.RecordNotice(c.notice) && c.notice.Born != 0 {
+			t.Errorf("%s: the second notice counts as new", c.name)
+		}
+	}
+}
+
+// TestStatus guards against requests that are sent to a server that is leaving, of another service or not in the list,
+// and against a notice that is ignored because the coordinator knew of a restart earlier than this VM.
+func TestStatus(t *testing.T) {
+	server := guavatraffic.Server{ID: "a", Service: "m", Address: "10.0.0.1:80", Born: 1}
+	restarted, drained := server, server
+	restarted.Born, drained.Leaving = 2, true
+	cases := []struct {
+		name    string
+		entry   guavatraffic.Server
+		notice  guavatraffic.Incarnation
+		service string
+		server  guavatraffic.Incarnation
+		want    guavaroster.Status
+	}{
+		{"usable", server, guavatraffic.Incarnation{}, "m", server.Incarnation(), guavaroster.Usable},
+		{"start time unknown", server, guavatraffic.Incarnation{}, "m", guavatraffic.Incarnation{ID: "a", Address: server.Address}, guavaroster.Usable},
+		{"other service", server, guavatraffic.Incarnation{}, "n", server.Incarnation(), guavaroster.Unknown},
+		{"not listed", server, guavatraffic.Incarnation{}, "m", guavatraffic.Incarnation{ID: "b", Born: 1}, guavaroster.Unknown},
+		{"leaving by its entry", drained, guavatraffic.Incarnation{}, "m", server.Incarnation(), guavaroster.Leaving},
+		{"notice", server, server.Incarnation(), "m", server.Incarnation(), guavaroster.Leaving},
+		{"notice, start time unknown", server, server.Incarnation(), "m", guavatraffic.Incarnation{ID: "a", Address: server.Address}, guavaroster.Leaving},
+		{"notice of a restarted server before its entry", server, restarted.Incarnation(), "m", restarted.Incarnation(), guavaroster.Leaving},
+		{"restarted since the notice", restarted, server.Incarnation(), "m", restarted.Incarnation(), guavaroster.Usable},
+	}
+	for _, c := range cases {
+		r := guavaroster.New()
+		r.Put(c.entry)
+		r.RecordNotice(c.notice)
+		if got := r.List().Status(c.service, c.server); got != c.want {
+			t.Errorf("%s: got %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// TestNoticesAreBounded guards against notices of servers that are gone that use up memory, and against the loss of the
+// notice of a server that is still listed.
+func TestNoticesAreBounded(t *testing.T) {
+	r := guavaroster.New()
+	listed := guavatraffic.Server{ID: "listed", Service: "m", Born: 1}
+	r.Put(listed)
+	r.RecordNotice(listed.Incarnation())
+	const gone = 5000
+	incarnation := func(n int) guavatraffic.Incarnation {
+		return guavatraffic.Incarnation{ID: "a", Born: int64(n + 1)}
+	}
+	for n := range gone {
+		r.RecordNotice(incarnation(n))
+	}
+	kept := 0
+	for n := range gone {
+		if r.List().HasNotice(incarnation(n)) {
+			kept++
+		}
+	}
+	if kept < 100 || kept > 1000 || !r.List().HasNotice(incarnation(gone-1)) {
+		t.Errorf("%d notices of servers that are gone are kept, want the newest 100 to 1000", kept)
+	}
+	if got := r.List().Notices("m"); len(got) != 1 || got[0] != listed.Incarnation() {
+		t.Errorf("notices of listed servers: got %v, want that of %v", got, listed.Incarnation())
+	}
+}
+
 // TestRenewals guards against VMs that process all servers again because of unchanged entries.
 func TestRenewals(t *testing.T) {
 	r := guavaroster.New()
--- a/core/guavatraffic/types.go
+++ b/core/guavatraffic/types.go
@@ -104,3 +104,15 @@
 	// from the previous process with the same ID.
 	Born int64
 }
+
+// Incarnation returns the identity of the server's process.
+func (s Server) Incarnation() Incarnation {
+	return Incarnation{ID: s.ID, Address: s.Address, Born: s.Born}
+}
+
+// Incarnation identifies a process of a server. A server that restarts may keep its ID, its address or both.
+type Incarnation struct {
+	ID      string
+	Address string
+	Born    int64 // see Server.Born
+}
--- a/io/guavacoord/client.go
+++ b/io/guavacoord/client.go
@@ -27,6 +27,17 @@
 	decisionGrace = 300 * time.Millisecond
 )
 
+// Notices records the leaving notices of servers: their statements, in responses to this VM or another one, that they are
+// leaving.
+type Notices interface {
+	// RecordNotices records notices. Servers with one are leaving in the lists passed to SetServers from then on.
+	RecordNotices(list []guavatraffic.Incarnation)
+	// HasNotice reports whether there is a notice of a server.
+	HasNotice(i guavatraffic.Incarnation) bool
+	// Notices returns the listed servers of a service that have given notice.
+	Notices(service string) []guavatraffic.Incarnation
+}
+
 // VM is a VM that may be a coordinator or the owner of a group of client accounts.
 type VM struct {
 	guavamember.Identity
@@ -50,11 +61,12 @@
 // Client requests reservations and tokens from the responsible VMs, and decides itself for the services and groups of
 // client accounts that this VM is responsible for.
 type Client struct {
-	self   VM
-	mesh   *guavamesh.Mesh
-	local  *coordinator
-	logger hclog.Logger
-	next   guavamesh.Handler
+	self    VM
+	mesh    *guavamesh.Mesh
+	local   *coordinator
+	notices Notices
+	logger  hclog.Logger
+	next    guavamesh.Handler
 
 	startupDone chan struct{} // closed startupTime after the start: this VM no longer waits for links to others
 
@@ -90,18 +102,18 @@
 
 // New returns a client. Messages of other types and all link events are passed on to next.
 func New(
-	self VM, config func() *guavatraffic.Config, t guavaquota.Tolerance, next guavamesh.Handler, dial guavamesh.Dial,
-	l hclog.Logger,
+	self VM, config func() *guavatraffic.Config, t guavaquota.Tolerance, n Notices, next guavamesh.Handler,
+	dial guavamesh.Dial, l hclog.Logger,
 ) *Client {
 	c := &Client{
-		self: self, logger: l, next: next,
+		self: self, notices: n, logger: l, next: next,
 		vms: []VM{self}, shards: map[string]int{}, ranks: map[string][]string{}, incoming: map[string]*guavamesh.Link{},
 		suspects: map[string]time.Time{}, coordinators: map[string]string{},
 		pending: map[guavaplace.Key]*pendingRequest{}, active: map[guavaplace.Key]*Reservation{},
 		tokenCaches: map[string]*tokenCache{}, tokenRequests: map[uint64]chan given{}, bans: bans{},
 	}
 	c.startupDone = make(chan struct{})
-	c.local = newCoordinator(self.Name, config, t, c.deliver, func(list []guavaplace.Ban) { c.addBans(nil, list) })
+	c.local = newCoordinator(self.Name, config, t, n, c.deliver, func(list []guavaplace.Ban) { c.addBans(nil, list) })
 	c.mesh = guavamesh.New(self.Identity, dial, c, l)
 	return c
 }
--- a/io/guavacoord/coordinator.go
+++ b/io/guavacoord/coordinator.go
@@ -25,6 +25,7 @@
 	self          string
 	deliver       deliverFunc
 	broadcastBans func(list []guavaplace.Ban) // sends them to all VMs
+	notices       Notices
 	config        func() *guavatraffic.Config
 
 	mu           sync.Mutex
@@ -45,10 +46,11 @@
 }
 
 func newCoordinator(
-	self string, config func() *guavatraffic.Config, t guavaquota.Tolerance, d deliverFunc, ban func(list []guavaplace.Ban),
+	self string, config func() *guavatraffic.Config, t guavaquota.Tolerance, n Notices, d deliverFunc,
+	ban func(list []guavaplace.Ban),
 ) *coordinator {
 	c := &coordinator{
-		self: self, deliver: d, broadcastBans: ban, config: config,
+		self: self, deliver: d, broadcastBans: ban, config: config, notices: n,
 		services: map[string]*service{}, servers: map[string][]guavatraffic.Server{},
 	}
 	for g := range c.allocators {
@@ -194,7 +196,8 @@
 	}
 }
 
-// handle processes a message of a VM.
+// handle processes a message of a VM. It records notices first, which updates the schedulers, so that no decision that
+// follows from the message chooses a server that is leaving.
 func (c *coordinator) handle(vm string, message any) {
 	switch m := message.(type) {
 	case submit:
@@ -202,8 +205,10 @@
 	case withdraw:
 		c.withScheduler(m.Service, func(s *guavaplace.Scheduler) []guavaplace.Decision { return s.Withdraw(time.Now(), m.Key) })
 	case release:
+		c.notices.RecordNotices(m.Notices)
 		c.withScheduler(m.Service, func(s *guavaplace.Scheduler) []guavaplace.Decision { return s.Release(time.Now(), m.Report) })
 	case started:
+		c.notices.RecordNotices(m.Notices)
 		c.withScheduler(m.Service, func(s *guavaplace.Scheduler) []guavaplace.Decision {
 			var l *guavaplace.Load
 			if m.Known {
@@ -213,6 +218,7 @@
 			return nil
 		})
 	case join:
+		c.notices.RecordNotices(m.Notices)
 		c.withScheduler(m.Service, func(s *guavaplace.Scheduler) []guavaplace.Decision {
 			for _, h := range m.Held {
 				s.Restore(time.Now(), h)
--- a/io/guavacoord/message.go
+++ b/io/guavacoord/message.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavatraffic"
 )
 
-// Messages to the coordinator of a shard. Their fields named Service hold the name of the shard.
+// Messages to the coordinator of a shard. Their fields named Service hold the name of the shard, those named Notices the
+// servers that have told the sender that they are leaving. VMs of an older version ignore fields that they do not know.
 type (
 	submit struct {
 		Service string
@@ -29,15 +31,18 @@
 		Key     guavaplace.Key
 		Load    guavaplace.Load
 		Known   bool // whether the server reported its load
+		Notices []guavatraffic.Incarnation
 	}
 	release struct {
 		Service string
 		Report  guavaplace.Report
+		Notices []guavatraffic.Incarnation
 	}
 	// join makes the receiver the coordinator of the sender for a shard. Held lists the sender's active runs.
 	join struct {
 		Service string
 		Held    []guavaplace.ActiveRun
+		Notices []guavatraffic.Incarnation
 	}
 	// leave tells the previous coordinator that the sender uses another one.
 	leave struct{ Service string }
--- a/io/guavacoord/reservation.go
+++ b/io/guavacoord/reservation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavatraffic"
 )
 
 // Reservation is the right to run one request on a server. It must be released.
@@ -14,6 +15,8 @@
 	// Server and Address are those of the server.
 	Server  string
 	Address string
+	// Born is the server's start time as known to the coordinator, 0 if unknown.
+	Born int64
 	// Coordinator is the VM that decided, and Waited the time that the request waited there.
 	Coordinator string
 	Waited      time.Duration
@@ -34,9 +37,26 @@
 
 func (p *Reservation) requestYield() { p.yieldOnce.Do(func() { close(p.yield) }) }
 
-// Started reports that the first byte of the response has arrived, with the load that the server reported, if any.
-func (p *Reservation) Started(l *guavaplace.Load) {
-	m := started{Service: p.service, Key: p.request.Key}
+// Incarnation identifies the process of the server.
+func (p *Reservation) Incarnation() guavatraffic.Incarnation {
+	return guavatraffic.Incarnation{ID: p.Server, Address: p.Address, Born: p.Born}
+}
+
+// notice returns the leaving notice of the server, if there is one.
+func (p *Reservation) notice() []guavatraffic.Incarnation {
+	if i := p.Incarnation(); p.client.notices.HasNotice(i) {
+		return []guavatraffic.Incarnation{i}
+	}
+	return nil
+}
+
+// Started reports that the first byte of the response has arrived, with the load that the server reported, if any, and
+// whether it said that it is leaving.
+func (p *Reservation) Started(l *guavaplace.Load, leaving bool) {
+	if leaving {
+		p.client.notices.RecordNotices([]guavatraffic.Incarnation{p.Incarnation()})
+	}
+	m := started{Service: p.service, Key: p.request.Key, Notices: p.notice()}
 	if l != nil {
 		m.Load, m.Known = *l, true
 	}
@@ -51,7 +71,7 @@
 		delete(c.active, p.request.Key)
 		c.mu.Unlock()
 		c.sendToCoordinator(p.service, release{
-			Service: p.service, Report: guavaplace.Report{Key: p.request.Key, Outcome: o, Work: work},
+			Service: p.service, Report: guavaplace.Report{Key: p.request.Key, Outcome: o, Work: work}, Notices: p.notice(),
 		})
 	})
 }
@@ -109,7 +129,7 @@
 		return nil, &RefusalError{After: d.After, Reason: d.Reason}
 	}
 	reservation := &Reservation{
-		Server: d.Server, Address: d.Address, Coordinator: vm, Waited: d.Waited, Expected: d.Expected,
+		Server: d.Server, Address: d.Address, Born: d.Born, Coordinator: vm, Waited: d.Waited, Expected: d.Expected,
 		client: c, service: service, request: r, start: time.Now(), yield: make(chan struct{}),
 	}
 	c.mu.Lock()
--- a/io/guavacoord/responsible.go
+++ b/io/guavacoord/responsible.go
@@ -180,6 +180,6 @@
 		c.send(previous, leave{Service: service})
 		c.failPending(func(p *pendingRequest) bool { return p.service == service && p.vm == previous })
 	}
-	c.send(vm, join{Service: service, Held: list})
+	c.send(vm, join{Service: service, Held: list, Notices: c.notices.Notices(guavaplace.ParseShard(service).Service)})
 	return vm
 }
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -124,7 +124,7 @@
 			return c
 		}
 		return &guavatraffic.Config{}
-	}, guavaquota.Tolerance{Overage: s.Overage, Slack: s.Slack}, e.replicator, network.Dial, logger)
+	}, guavaquota.Tolerance{Overage: s.Overage, Slack: s.Slack}, e.registry, e.replicator, network.Dial, logger)
 	e.pool = guavapool.New(network.Dial, dialTimeout, idleTimeout, maxIdleConns, &guavapool.Counters{})
 	e.sender = guavasend.New(e.pool, guavabudget.New(s.Memory*(1<<20)/responseShare))
 	sender := e.sender
@@ -133,7 +133,7 @@
 	e.replicator.fallback = store
 	e.batch = guavajobs.New(guavajobs.Dependencies{
 		Self: self.Identity, Table: store, Objects: store, Admission: localAdmission{e.client, s.Domain}, Sender: sender,
-		Protocol: p.Wire, Codec: p.Codec, Config: config, Stale: e.isStale, Usable: e.registry.usable,
+		Protocol: p.Wire, Codec: p.Codec, Config: config, Stale: e.isStale, Status: e.registry.status,
 		Linked: func(vm string) uint64 {
 			if l := e.client.Mesh().Link(vm); l != nil {
 				return l.Peer.Incarnation
@@ -148,7 +148,7 @@
 	})
 	e.gate = guavagate.New(guavagate.Dependencies{
 		Protocol: p.Wire, Admission: localAdmission{e.client, s.Domain}, Jobs: e.batch, Sender: sender,
-		Config: config, Stale: e.isStale, Usable: e.registry.usable, Metrics: requests, Logger: logger,
+		Config: config, Stale: e.isStale, Status: e.registry.status, Metrics: requests, Logger: logger,
 	}, s.Files-reservedFiles)
 	e.config = guavaview.New(p.Store, p.ConfigTable, []string{""}, guavaview.DefaultWait, e.registry.applyConfig, logger)
 	e.servers = guavaview.New(p.Store, p.ServerTable, []string{""}, guavaview.DefaultWait, e.registry.applyServers, logger)
@@ -183,7 +183,7 @@
 	owners := e.owners
 	e.mu.Unlock()
 	// A configuration can change the slots of servers.
-	e.client.SetServers(e.registry.serverList())
+	e.client.SetServers(e.registry.servers.Load().Servers())
 	e.client.SetVMs(list, services, slices.Concat(owners, e.replicator.setVMs(e.settings.Name, list)))
 	identities := make([]guavamember.Identity, 0, len(list))
 	for _, v := range list {
@@ -196,7 +196,7 @@
 func (e *Edge) updateServers() {
 	e.updateMu.Lock()
 	defer e.updateMu.Unlock()
-	e.client.SetServers(e.registry.serverList())
+	e.client.SetServers(e.registry.servers.Load().Servers())
 }
 
 func (e *Edge) isStale() bool { return e.config.Outage(time.Now()) > staleAfter }
--- a/io/guavaedge/metrics.go
+++ b/io/guavaedge/metrics.go
@@ -128,7 +128,7 @@
 		{"guavaridge_vm_list_silence_ms", "time for which nothing was heard of changes to the list of VMs", func() int64 {
 			return e.vms.Outage(time.Now()).Milliseconds()
 		}},
-		{"guavaridge_servers", "backend servers known", func() int64 { return int64(len(*e.registry.servers.Load())) }},
+		{"guavaridge_servers", "backend servers known", func() int64 { return int64(e.registry.servers.Load().Len()) }},
 		{"guavaridge_vms", "VMs known", func() int64 { return int64(len(e.registry.list())) }},
 		{"guavaridge_goroutines", "goroutines of the process", func() int64 { return int64(runtime.NumGoroutine()) }},
 	}
--- a/io/guavaedge/registry.go
+++ b/io/guavaedge/registry.go
@@ -43,7 +43,7 @@
 	onServerChange func()
 
 	config  atomic.Pointer[guavatraffic.Config]
-	servers atomic.Pointer[map[string]guavatraffic.Server]
+	servers atomic.Pointer[guavaroster.List]
 
 	mu     sync.Mutex
 	roster *guavaroster.Roster
@@ -55,7 +55,7 @@
 		self: self, platform: p, logger: l, onChange: onChange, onServerChange: onServerChange,
 		roster: guavaroster.New(), vms: map[string]guavacoord.VM{self.Name: self},
 	}
-	r.servers.Store(&map[string]guavatraffic.Server{})
+	r.servers.Store(r.roster.List())
 	return r
 }
 
@@ -100,7 +100,7 @@
 			changed = r.roster.Remove(now, id) || changed
 			continue
 		}
-		if old, ok := (*r.servers.Load())[id]; !ok || old.Leaving != s.Leaving || old.Born != s.Born {
+		if old, ok := r.roster.Entry(id); !ok || old.Leaving != s.Leaving || old.Born != s.Born {
 			r.logger.Info("server", "server", id, "service", s.Service, "address", s.Address, "leaving", s.Leaving)
 		}
 		list = append(list, s)
@@ -120,10 +120,37 @@
 	}
 }
 
-// publishServers replaces the map of servers that is read without the lock. The caller holds the lock.
-func (r *registry) publishServers() {
-	byID := r.roster.ByID()
-	r.servers.Store(&byID)
+// publishServers replaces the list of servers that is read without the lock. The caller holds the lock.
+func (r *registry) publishServers() { r.servers.Store(r.roster.List()) }
+
+// RecordNotices implements guavacoord.Notices.
+func (r *registry) RecordNotices(list []guavatraffic.Incarnation) {
+	if !slices.ContainsFunc(list, func(i guavatraffic.Incarnation) bool { return !r.HasNotice(i) }) {
+		return // the common case, since each response of a leaving server repeats its notice
+	}
+	r.mu.Lock()
+	changed := false
+	for _, i := range list {
+		if r.roster.RecordNotice(i) {
+			r.logger.Info("server leaving", "server", i.ID, "address", i.Address, "born", i.Born)
+			changed = true
+		}
+	}
+	if changed {
+		r.publishServers()
+	}
+	r.mu.Unlock()
+	if changed {
+		r.onServerChange()
+	}
+}
+
+// HasNotice implements guavacoord.Notices.
+func (r *registry) HasNotice(i guavatraffic.Incarnation) bool { return r.servers.Load().HasNotice(i) }
+
+// Notices implements guavacoord.Notices.
+func (r *registry) Notices(service string) []guavatraffic.Incarnation {
+	return r.servers.Load().Notices(service)
 }
 
 // recordStoreFailure records that the store is unresponsive.
@@ -193,15 +220,9 @@
 	return slices.SortedFunc(maps.Values(r.vms), func(a, b guavacoord.VM) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// usable reports whether a server accepts requests for the service.
-func (r *registry) usable(service, id string) bool {
-	s, ok := (*r.servers.Load())[id]
-	return ok && s.Service == service && !s.Leaving
-}
-
-// serverList returns all servers.
-func (r *registry) serverList() []guavatraffic.Server {
-	return slices.Collect(maps.Values(*r.servers.Load()))
+// status returns whether a server accepts requests for the service.
+func (r *registry) status(service string, i guavatraffic.Incarnation) guavaroster.Status {
+	return r.servers.Load().Status(service, i)
 }
 
 const (
--- a/io/guavaexplain/explain.go
+++ b/io/guavaexplain/explain.go
@@ -29,6 +29,7 @@
 	"store regained":                  "table",
 	"VMs":                             "",
 	"server":                          "server",
+	"server leaving":                  "server",
 	"server gone":                     "server",
 	"no answer in time":               "",
 	"drain":                           "",
@@ -121,7 +122,7 @@
 // contextKey returns the key of the state that a context line is about. Messages about the start and the end of a
 // state, such as "store lost" and "store regained", have the same key, so that the later replaces the earlier.
 func contextKey(x line, field string) string {
-	name := strings.NewReplacer("regained", "", "lost", "", " gone", "").Replace(x.message)
+	name := strings.NewReplacer("regained", "", "lost", "", " leaving", "", " gone", "").Replace(x.message)
 	if field == "" {
 		return name
 	}
--- a/io/guavaexplain/explain_test.go
+++ b/io/guavaexplain/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -55,3 +56,35 @@
 		t.Errorf("got %d lines, want none:\n%s", n, got.String())
 	}
 }
+
+// TestServerLeaving guards against a timeline that shows an older state of a server beside or instead of the newest one.
+func TestServerLeaving(t *testing.T) {
+	at := func(second int, fields string) string {
+		return fmt.Sprintf(`{"@timestamp":"2026-01-01T00:00:%02dZ",%s}`+"\n", second, fields)
+	}
+	const server, leaving, answered = `"@message":"server","server":"s"`, `"@message":"server leaving","server":"s"`,
+		`"@message":"answered","id":"a","server":"s"`
+	cases := []struct {
+		name     string
+		messages []string
+		want     string
+	}{
+		{"leaving", []string{server, leaving, answered}, "server leaving"},
+		{"restarted", []string{leaving, server, answered}, "server server=s"},
+	}
+	for _, c := range cases {
+		var text strings.Builder
+		for i, m := range c.messages {
+			text.WriteString(at(i, m))
+		}
+		log, err := guavaexplain.Read(strings.NewReader(text.String()), "vm")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got bytes.Buffer
+		log.Explain(&got, "a")
+		if n := strings.Count(got.String(), "known for"); n != 1 || !strings.Contains(got.String(), ": "+c.want) {
+			t.Errorf("%s: want one state of the server, %q, got:\n%s", c.name, c.want, got.String())
+		}
+	}
+}
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -41,7 +41,7 @@
 	avoid          []string
 	fingerprintSum uint64 // 0 until it is computed
 	executions     int    // number of attempts that may have been executed
-	unexecuted     int    // number of attempts that were not executed
+	unexecuted     int    // number of attempts that were not executed, without those of leaving servers
 	waited         time.Duration
 	server         string
 	token          guavacoord.Token // of the account's rate limit, if it has one
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -9,6 +9,7 @@
 
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavapoison"
+	"guavaridge/core/guavaroster"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavasend"
 	"guavaridge/io/guavatransport"
@@ -73,7 +74,7 @@
 		return false, c.handleSendError(reservation, err)
 	}
 	info := c.gate.Protocol.DecodeResponse(&x.Response.Header)
-	reservation.Started(info.Load)
+	reservation.Started(info.Load, info.Leaving)
 	c.gate.Metrics.FirstByte(time.Since(c.arrived).Seconds())
 	c.gate.Metrics.FirstByteDeviation((time.Since(c.arrived) - c.waited - reservation.Expected).Seconds())
 	switch {
@@ -84,6 +85,9 @@
 	case info.NotExecuted:
 		x.Close()
 		reservation.Release(guavaplace.Shed, 0)
+		if info.Leaving {
+			c.unexecuted-- // not counted: the coordinator no longer grants the server, so each is tried once at most
+		}
 		return false, c.retryUnexecuted("shed")
 	case c.isStream(x.Response.StatusCode()):
 		return c.relayStream(x, reservation)
@@ -122,12 +126,16 @@
 		if err != nil {
 			return nil, fmt.Errorf("acquire a reservation on %s: %w", c.service, err)
 		}
-		if g.Usable(c.service, reservation.Server) {
+		status := g.Status(c.service, reservation.Incarnation())
+		if status == guavaroster.Usable {
 			c.server = reservation.Server
 			return reservation, nil
 		}
 		reservation.Release(guavaplace.Cancelled, 0)
 		c.avoid = append(c.avoid, reservation.Server)
+		if status == guavaroster.Leaving {
+			continue // not counted: many servers may leave at once, and each is granted to the request once at most
+		}
 		if c.unexecuted++; c.unexecuted >= maxUnexecuted {
 			return nil, &guavacoord.RefusalError{After: defaultRetryAfter, Reason: "servers unknown here"}
 		}
--- a/io/guavagate/gateway.go
+++ b/io/guavagate/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavaroster"
 	"guavaridge/core/guavatraffic"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavalisten"
@@ -44,8 +45,8 @@
 	Config func() *guavatraffic.Config
 	// Stale reports whether the configuration may be out of date because the store is unavailable.
 	Stale func() bool
-	// Usable reports whether this VM's own server list has the server as one that accepts requests for the service.
-	Usable func(service, server string) bool
+	// Status returns whether a server accepts requests for the service, by this VM's own server list.
+	Status func(service string, server guavatraffic.Incarnation) guavaroster.Status
 	// Metrics record the course of requests.
 	Metrics Metrics
 	Logger  hclog.Logger
--- a/io/guavagate/protocol.go
+++ b/io/guavagate/protocol.go
@@ -66,7 +66,9 @@
 	NotExecuted bool
 	// Misdirected reports that a different server than the addressed one responded.
 	Misdirected bool
-	Load        *guavaplace.Load
+	// Leaving reports that the addressed server said that it is leaving.
+	Leaving bool
+	Load    *guavaplace.Load
 }
 
 // Protocol encodes and decodes the headers of requests and responses.
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -225,7 +225,7 @@
 			continue
 		}
 		info := c.gate.Protocol.DecodeResponse(&x.Response.Header)
-		reservation.Started(info.Load)
+		reservation.Started(info.Load, info.Leaving)
 		if x.Response.StatusCode() != fasthttp.StatusOK {
 			cause = fmt.Errorf("status %d", x.Response.StatusCode())
 			x.Close()
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -14,6 +14,7 @@
 	"guavaridge/core/guavaevent"
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavaprogress"
+	"guavaridge/core/guavaroster"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavagate"
 	"guavaridge/io/guavasend"
@@ -187,10 +188,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("acquire a reservation for the item: %w", err)
 	}
-	if !l.Usable(service, reservation.Server) {
+	if s := l.Status(service, reservation.Incarnation()); s != guavaroster.Usable {
 		reservation.Release(guavaplace.Cancelled, 0)
 		r.avoid = []string{reservation.Server}
-		return nil, errors.New("the reserved server is not in this VM's server list")
+		return nil, fmt.Errorf("the reserved server is %s in this VM's server list", s)
 	}
 	return reservation, nil
 }
@@ -218,7 +219,7 @@
 		return r.handleFailure(attempt, reservation, err, before)
 	}
 	response := l.Protocol.DecodeResponse(&x.Response.Header)
-	reservation.Started(response.Load)
+	reservation.Started(response.Load, response.Leaving)
 	status := x.Response.StatusCode()
 	if status == fasthttp.StatusOK {
 		err := r.receive(x)
--- a/io/guavajobs/jobs.go
+++ b/io/guavajobs/jobs.go
@@ -18,6 +18,7 @@
 	"guavaridge/core/guavamember"
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavaprogress"
+	"guavaridge/core/guavaroster"
 	"guavaridge/core/guavatraffic"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavagate"
@@ -54,8 +55,8 @@
 	Stale func() bool
 	// Confirmed returns when the store last confirmed that this VM's copy of the jobs table is current.
 	Confirmed func() time.Time
-	// Usable reports whether this VM's own server list has the server as one that accepts requests for the service.
-	Usable func(service, server string) bool
+	// Status returns whether a server accepts requests for the service, by this VM's own server list.
+	Status func(service string, server guavatraffic.Incarnation) guavaroster.Status
 	// Linked returns the incarnation of the process at the other end of the link to a VM, or 0 if there is no link.
 	Linked func(vm string) uint64
 	// Retention is how long the results of a closed job stay readable.
