--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -43,7 +43,7 @@
 	avoid          []string
 	fingerprintSum uint64
 	executions     int // number of attempts that may have been executed
-	unexecuted     int // number of attempts that were not executed
+	unexecuted     int // number of attempts that were not executed, without those of leaving servers
 	waited         time.Duration
 	server         string
 	replacement    *guavacoord.Reservation // for the next attempt, nil if it has to be acquired
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -269,7 +269,7 @@
 		return err
 	}
 	info := c.gate.Protocol.DecodeResponse(&x.Response.Header)
-	reservation.Started(info.Load)
+	reservation.Started(info.Load, info.Leaving)
 	status := x.Response.StatusCode()
 	if status == fasthttp.StatusOK && !info.Misdirected && !info.NotExecuted {
 		s.exchange, s.reservation, s.splitter, s.readErr = x, reservation, guavaevent.Splitter{}, nil
