Ignore entries of servers that other writers have left

Callers of a system like ours saw machines that ended or lost track of their servers after another writer had left an odd entry.

DecodeServer converted slots of 1e300 to an int and a cold time of 1e300 ms to a time.Duration, which gives other results on x86-64 than on arm64, and it accepted negative slots, addresses without a port or with one out of range, names, and entries without a zone, slots or a sequence. With slots of about 1e18 such an entry ranks before all servers, and sums of slots overflow. An entry with the key x/i-2 removed the server i-2, since only the part of a key after its last slash counted.

An invalid row is logged once for each revision, without its bytes.

--- a/io/guavaedge/registry.go
+++ b/io/guavaedge/registry.go
@@ -32,6 +32,13 @@
 	Cores       float64 `json:"cores"`
 }
 
+// rowName returns the part of a row's key after the table and the partition. Names may contain slashes.
+func rowName(key string) string {
+	_, rest, _ := strings.Cut(key, "/")
+	_, name, _ := strings.Cut(rest, "/")
+	return name
+}
+
 // registry holds the configuration, servers and VMs as read from the store.
 type registry struct {
 	self     guavacoord.VM
@@ -48,12 +55,14 @@
 	mu     sync.Mutex
 	roster *guavaroster.Roster
 	vms    map[string]guavacoord.VM
+	// invalid holds the revisions of the invalid rows that were logged, by key. Snapshots contain them again.
+	invalid map[string]uint64
 }
 
 func newRegistry(self guavacoord.VM, p Platform, l hclog.Logger, onChange, onServerChange func()) *registry {
 	r := &registry{
 		self: self, platform: p, logger: l, onChange: onChange, onServerChange: onServerChange,
-		roster: guavaroster.New(), vms: map[string]guavacoord.VM{self.Name: self},
+		roster: guavaroster.New(), vms: map[string]guavacoord.VM{self.Name: self}, invalid: map[string]uint64{},
 	}
 	r.servers.Store(&map[string]guavatraffic.Server{})
 	return r
@@ -88,15 +97,16 @@
 	changed := false
 	var list []guavatraffic.Server
 	for _, c := range changes {
-		id := c.Key[strings.LastIndexByte(c.Key, '/')+1:]
+		id := rowName(c.Key)
 		if c.Removed {
+			delete(r.invalid, c.Key)
 			r.logger.Info("server gone", "server", id)
 			changed = r.roster.Remove(now, id) || changed
 			continue
 		}
 		s, err := r.platform.DecodeServer(id, c.Value)
 		if err != nil {
-			r.logger.Warn("invalid server entry ignored", "error", err)
+			r.logInvalid("invalid server entry ignored", c.Row, err)
 			changed = r.roster.Remove(now, id) || changed
 			continue
 		}
@@ -120,6 +130,15 @@
 	}
 }
 
+// logInvalid logs an invalid row, unless it was logged at this revision. The caller holds the lock.
+func (r *registry) logInvalid(message string, row guavaplatform.Row, err error) {
+	if revision, logged := r.invalid[row.Key]; logged && revision == row.Revision {
+		return
+	}
+	r.invalid[row.Key] = row.Revision
+	r.logger.Warn(message, "row", row.Key, "revision", row.Revision, "error", err)
+}
+
 // publishServers replaces the map of servers that is read without the lock. The caller holds the lock.
 func (r *registry) publishServers() {
 	byID := r.roster.ByID()
@@ -153,7 +172,7 @@
 		r.vms = map[string]guavacoord.VM{r.self.Name: r.self}
 	}
 	for _, c := range changes {
-		name := c.Key[strings.LastIndexByte(c.Key, '/')+1:]
+		name := rowName(c.Key)
 		if name == r.self.Name {
 			continue
 		}
