Check the rows of the table of VMs

A row with cores of 1e308 in the table of VMs, of another writer, excluded all VMs from reading the store for the others and put them behind the row's VM in each ranking: readers and coordinators have at least half the cores of the largest VM. Each VM then polled the store by itself.

The cores now have a bound, and the address needs a port. A row is logged once for each revision and without its bytes.

A row with plausible cores and an address where no VM answers costs attempts to connect.

--- a/io/guavaedge/registry.go
+++ b/io/guavaedge/registry.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,6 +35,29 @@
 	Cores       float64 `json:"cores"`
 }
 
+// maxVMCores bounds the cores of a VM. The largest machines for rent have about 2000. VMs with less than half of the
+// cores of the largest neither read the store for others nor coordinate, so a row with far more would exclude all others.
+const maxVMCores = 4096
+
+// decodeVM decodes a row of tableVMs. Its errors do not contain the row's bytes, which may be those of another writer.
+func decodeVM(name string, data []byte) (vmRecord, error) {
+	var v vmRecord
+	if err := json.Unmarshal(data, &v); err != nil {
+		return vmRecord{}, errors.New("decode VM: no JSON value, or a field of another type")
+	}
+	_, port, err := net.SplitHostPort(v.Address)
+	if err != nil {
+		return vmRecord{}, errors.New("the address has no port")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return vmRecord{}, errors.New("the port is not a number of 1 to 65535")
+	}
+	if name == "" || !(v.Cores > 0 && v.Cores <= maxVMCores) {
+		return vmRecord{}, fmt.Errorf("the name is missing or the cores are not in the range up to %d", maxVMCores)
+	}
+	return v, nil
+}
+
 // rowName returns the part of a row's key after the table and the partition. Names may contain slashes.
 func rowName(key string) string {
 	_, rest, _ := strings.Cut(key, "/")
@@ -177,12 +203,13 @@
 			continue
 		}
 		if c.Removed {
+			delete(r.invalid, c.Key)
 			delete(r.vms, name)
 			continue
 		}
-		var v vmRecord
-		if err := json.Unmarshal(c.Value, &v); err != nil {
-			r.logger.Error("invalid VM entry ignored", "vm", name, "error", err)
+		v, err := decodeVM(name, c.Value)
+		if err != nil {
+			r.logInvalid("invalid VM entry ignored", c.Row, err)
 			continue
 		}
 		r.vms[name] = guavacoord.VM{Cores: v.Cores, Identity: guavamember.Identity{
