Take over jobs whose saved progress cannot be decoded

A row of saved progress that cannot be decoded, or that holds another type or numbers that no progress has, failed each takeover of its job, so the job was never finished. The value null counted as progress after event 0, and its item was completed without its first event. A row of the jobs table with the content of another job replaced that job in the copies of all VMs, and could end it.

Items without usable progress now start again, and a row must contain the job that its key names.

--- a/io/guavajobs/index.go
+++ b/io/guavajobs/index.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -66,6 +67,9 @@
 	if err := json.Unmarshal(r.Value, &e.job); err != nil {
 		return entry{}, fmt.Errorf("decode job %s: %w", r.Key, err)
 	}
+	if e.job.ID == "" || !strings.HasSuffix(r.Key, "/"+e.job.ID) {
+		return entry{}, fmt.Errorf("the row %s contains another job", r.Key)
+	}
 	return e, nil
 }
 
--- a/io/guavajobs/save.go
+++ b/io/guavajobs/save.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"guavaridge/core/guavaprogress"
@@ -82,7 +84,8 @@
 	}
 }
 
-// readProgress reads the saved progress of a job's items, by item index.
+// readProgress reads the saved progress of a job's items, by item index. Items whose progress cannot be decoded start
+// again, since the job would otherwise never be taken over.
 func (l *Jobs) readProgress(ctx context.Context, id string) (map[int]guavaprogress.SavedProgress, error) {
 	saved := map[int]guavaprogress.SavedProgress{}
 	prefix, after := tableSaved+"/"+shard(id)+"/"+id+".", ""
@@ -92,19 +95,33 @@
 			return nil, fmt.Errorf("read saved progress: %w", err)
 		}
 		for _, row := range rows {
-			var s guavaprogress.SavedProgress
-			var index int
-			if _, err := fmt.Sscanf(row.Key[len(prefix):], "%d", &index); err != nil {
-				return nil, fmt.Errorf("parse item index in key %s: %w", row.Key, err)
-			}
-			if err := json.Unmarshal(row.Value, &s); err != nil {
-				return nil, fmt.Errorf("decode progress %s: %w", row.Key, err)
+			after = row.Key
+			index, s, err := decodeProgress(strings.TrimPrefix(row.Key, prefix), row.Value)
+			if err != nil {
+				l.Logger.Warn("saved progress ignored", "row", row.Key, "error", err)
+				continue
 			}
 			saved[index] = s
-			after = row.Key
 		}
 		if len(rows) == 0 {
 			return saved, nil
 		}
 	}
 }
+
+// decodeProgress decodes a row of saved progress, whose key ends in the index of the item.
+func decodeProgress(name string, value []byte) (int, guavaprogress.SavedProgress, error) {
+	var s guavaprogress.SavedProgress
+	index, err := strconv.Atoi(name)
+	if err != nil {
+		return 0, s, fmt.Errorf("parse item index: %w", err)
+	}
+	if err := json.Unmarshal(value, &s); err != nil {
+		return 0, s, fmt.Errorf("decode progress: %w", err)
+	}
+	// Events have consecutive numbers from 0 or above, and -1 stands for none.
+	if index < 0 || s.Failures < 0 || s.Events < 0 || s.Last < s.Events-1 || (s.Events == 0) != (s.Last == -1) {
+		return 0, s, errors.New("numbers that no progress has")
+	}
+	return index, s, nil
+}
