Send requests that a copy of a refusal could reach on new connections

Callers of a system like ours were told "not run, try again" for requests that a server had run, or such a request ran at a second server: a faulty server had written an earlier refusal once more on a kept connection.

Responses with another identifier were skipped, but a request without an identifier took any response for its own, also the copy of a refusal of another request. An item keeps its identifier over all attempts, so the copy of its own refusal fitted a later attempt at the same server, which ended the running one.

Requests without an identifier, and items at servers that have refused them, are now sent on new connections. Other requests keep reusing connections, since their identifiers tell copies apart.

--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -62,6 +62,8 @@
 	index  int // of the item in its job
 	item   guavaprogress.Item
 	avoid  []string // the server of the last failed attempt
+	// refusedBy holds the servers that refused the item. Each attempt has the same ID.
+	refusedBy map[string]bool
 
 	mu       sync.Mutex // guards changes of progress, and saved
 	progress *guavaprogress.Progress
@@ -69,7 +71,7 @@
 }
 
 func newItemRun(r *runner, index int, p *guavaprogress.Progress) *itemRun {
-	return &itemRun{runner: r, index: index, item: r.items[index], progress: p, saved: p.Save()}
+	return &itemRun{runner: r, index: index, item: r.items[index], progress: p, saved: p.Save(), refusedBy: map[string]bool{}}
 }
 
 // unsaved returns the progress, and whether it is worth saving: it has at least minEvents new events, or another
@@ -251,7 +253,7 @@
 	})
 	return l.Sender.Send(ctx, guavasend.Request{ //nolint:wrapcheck // handleFailure inspects it
 		Address: reservation.Address, ID: r.item.ID, IDHeader: l.Protocol.IDHeader(), Message: q, MaxIdle: maxIdle,
-		HeaderTimeout: serverTimeout, Repeatable: true,
+		HeaderTimeout: serverTimeout, Repeatable: true, NewConnection: r.refusedBy[reservation.Server],
 	})
 }
 
@@ -336,6 +338,7 @@
 ) (guavaprogress.Action, string) {
 	r.avoid = []string{reservation.Server}
 	r.logEnd(j, reservation, "rejected", fmt.Sprintf("status %d", status))
+	r.refusedBy[reservation.Server] = response.Misdirected || response.NotExecuted || r.refusedBy[reservation.Server]
 	switch {
 	case response.Misdirected:
 		reservation.Release(guavaplace.Misdirected, 0)
--- a/io/guavasend/sender.go
+++ b/io/guavasend/sender.go
@@ -53,12 +53,16 @@
 // Request is a request and the rules for sending it.
 type Request struct {
 	Address string
-	// ID is the value that the response has to carry in IDHeader. An empty ID accepts any response.
+	// ID is the value that the response has to carry in IDHeader. Without an ID the request is sent on a new connection:
+	// a late copy of an earlier response on a reused one could not be told apart from its response.
 	ID       string
 	IDHeader string
 	Message  *fasthttp.Request
 	// MaxIdle bounds the idle time of a reused connection.
 	MaxIdle time.Duration
+	// NewConnection sends the request on a new connection. It is set when the server has refused a request with the same ID,
+	// since a late copy of the refusal on a reused connection would look like the response.
+	NewConnection bool
 	// Repeatable requests are sent once more, on a new connection, if a reused one fails before the response begins.
 	Repeatable bool
 	// HeaderTimeout bounds the wait for the headers of the response; 0 means no bound.
@@ -98,7 +102,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Err: context.Cause(ctx)}
 	}
-	c, err := s.pool.ConnectWithin(ctx, r.Address, r.MaxIdle)
+	c, err := s.connect(ctx, r)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -120,6 +124,13 @@
 	return x, nil
 }
 
+func (s *Sender) connect(ctx context.Context, r Request) (*guavapool.Connection, error) {
+	if r.ID == "" || r.NewConnection {
+		return s.pool.Open(ctx, r.Address) //nolint:wrapcheck // Send wraps it
+	}
+	return s.pool.ConnectWithin(ctx, r.Address, r.MaxIdle) //nolint:wrapcheck // Send wraps it
+}
+
 // exchange sends a request on a connection and reads the headers of its response.
 func (s *Sender) exchange(ctx context.Context, c *guavapool.Connection, r Request) (*Exchange, *Error) {
 	x := &Exchange{sender: s, address: r.Address, conn: c, writeDone: make(chan error, 1), buffered: s.budget.Holder()}
