Do not call a request unexecuted that was refused when it was sent again

A repeatable request is sent once more on a new connection when a reused one ends without a response. If the server refused this second one, the caller got 503, though the first may have run: the refusal says nothing about it. Such a request now counts as one that may have run, is tried at another server within its number of executions, and otherwise gets 502.

--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -76,15 +76,19 @@
 	reservation.Started(info.Load)
 	c.gate.Metrics.FirstByte(time.Since(c.arrived).Seconds())
 	c.gate.Metrics.FirstByteDeviation((time.Since(c.arrived) - c.waited - reservation.Expected).Seconds())
+	retryRefused := c.retryUnexecuted
+	if x.Resent {
+		retryRefused = c.retryPossiblyExecuted // a refusal does not say that the request was not executed when it was sent before
+	}
 	switch {
 	case info.Misdirected:
 		x.Close()
 		reservation.Release(guavaplace.Misdirected, 0)
-		return false, c.retryUnexecuted("misdirected")
+		return false, retryRefused("misdirected")
 	case info.NotExecuted:
 		x.Close()
 		reservation.Release(guavaplace.Shed, 0)
-		return false, c.retryUnexecuted("shed")
+		return false, retryRefused("shed")
 	case c.isStream(x.Response.StatusCode()):
 		return c.relayStream(x, reservation)
 	}
--- a/io/guavasend/sender.go
+++ b/io/guavasend/sender.go
@@ -84,6 +84,9 @@
 // Exchange is a request whose response headers have been read. It must be finished or closed.
 type Exchange struct {
 	Response *fasthttp.Response
+	// Resent reports that the request had been sent before, on a connection that failed, and may have been executed then.
+	// The response says nothing about that.
+	Resent bool
 
 	sender    *Sender
 	address   string
@@ -121,6 +124,7 @@
 		failure.Sent = true // at least on the first connection
 		return nil, failure
 	}
+	x.Resent = true
 	return x, nil
 }
 
