--- a/io/guavaedge/registry.go
+++ b/io/guavaedge/registry.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,6 +35,36 @@
 	Cores       float64 `json:"cores"`
 }
 
+// maxVMCores bounds the cores of a VM. The largest machines for rent have about 2000. VMs with less than half of the
+// cores of the largest neither read the store for others nor coordinate, so a row with far more would exclude all others.
+const maxVMCores = 4096
+
+// decodeVM decodes a row of tableVMs. Its errors do not contain the row's bytes, which may be those of another writer.
+func decodeVM(name string, data []byte) (vmRecord, error) {
+	var v vmRecord
+	if err := json.Unmarshal(data, &v); err != nil {
+		return vmRecord{}, errors.New("decode VM: no JSON value, or a field of another type")
+	}
+	_, port, err := net.SplitHostPort(v.Address)
+	if err != nil {
+		return vmRecord{}, errors.New("the address has no port")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return vmRecord{}, errors.New("the port is not a number of 1 to 65535")
+	}
+	if name == "" || !(v.Cores > 0 && v.Cores <= maxVMCores) {
+		return vmRecord{}, fmt.Errorf("the name is missing or the cores are not in the range up to %d", maxVMCores)
+	}
+	return v, nil
+}
+
+// rowName returns the part of a row's key after the table and the partition. Names may contain slashes.
+func rowName(key string) string {
+	_, rest, _ := strings.Cut(key, "/")
+	_, name, _ := strings.Cut(rest, "/")
+	return name
+}
+
 // registry holds the configuration, servers and VMs as read from the store.
 type registry struct {
 	self     guavacoord.VM
@@ -48,12 +81,14 @@
 	mu     sync.Mutex
 	roster *guavaroster.Roster
 	vms    map[string]guavacoord.VM
+	// invalid holds the revisions of the invalid rows that were logged, by key. Snapshots contain them again.
+	invalid map[string]uint64
 }
 
 func newRegistry(self guavacoord.VM, p Platform, l hclog.Logger, onChange, onServerChange func()) *registry {
 	r := &registry{
 		self: self, platform: p, logger: l, onChange: onChange, onServerChange: onServerChange,
-		roster: guavaroster.New(), vms: map[string]guavacoord.VM{self.Name: self},
+		roster: guavaroster.New(), vms: map[string]guavacoord.VM{self.Name: self}, invalid: map[string]uint64{},
 	}
 	r.servers.Store(r.roster.List())
 	return r
@@ -88,15 +123,16 @@
 	changed := false
 	var list []guavatraffic.Server
 	for _, c := range changes {
-		id := c.Key[strings.LastIndexByte(c.Key, '/')+1:]
+		id := rowName(c.Key)
 		if c.Removed {
+			delete(r.invalid, c.Key)
 			r.logger.Info("server gone", "server", id)
 			changed = r.roster.Remove(now, id) || changed
 			continue
 		}
 		s, err := r.platform.DecodeServer(id, c.Value)
 		if err != nil {
-			r.logger.Warn("invalid server entry ignored", "error", err)
+			r.logInvalid("invalid server entry ignored", c.Row, err)
 			changed = r.roster.Remove(now, id) || changed
 			continue
 		}
@@ -110,6 +146,7 @@
 	}
 	if full {
 		changed = r.roster.Replace(now, list) || changed
+		r.forgetInvalid(r.platform.ServerTable, changes)
 	}
 	if changed {
 		r.publishServers()
@@ -120,6 +157,26 @@
 	}
 }
 
+// logInvalid logs an invalid row, unless it was logged at this revision. The caller holds the lock.
+func (r *registry) logInvalid(message string, row guavaplatform.Row, err error) {
+	if revision, logged := r.invalid[row.Key]; logged && revision == row.Revision {
+		return
+	}
+	r.invalid[row.Key] = row.Revision
+	r.logger.Warn(message, "row", row.Key, "revision", row.Revision, "error", err)
+}
+
+// forgetInvalid forgets the invalid rows of a table that are not in its complete list of rows. The caller holds the lock.
+func (r *registry) forgetInvalid(table string, rows []guavaplatform.RowChange) {
+	listed := make(map[string]bool, len(rows))
+	for _, c := range rows {
+		listed[c.Key] = true
+	}
+	maps.DeleteFunc(r.invalid, func(key string, _ uint64) bool {
+		return strings.HasPrefix(key, table+"/") && !listed[key]
+	})
+}
+
 // publishServers replaces the list of servers that is read without the lock. The caller holds the lock.
 func (r *registry) publishServers() { r.servers.Store(r.roster.List()) }
 
@@ -178,19 +235,21 @@
 	r.mu.Lock()
 	if full {
 		r.vms = map[string]guavacoord.VM{r.self.Name: r.self}
+		r.forgetInvalid(tableVMs, changes)
 	}
 	for _, c := range changes {
-		name := c.Key[strings.LastIndexByte(c.Key, '/')+1:]
+		name := rowName(c.Key)
 		if name == r.self.Name {
 			continue
 		}
 		if c.Removed {
+			delete(r.invalid, c.Key)
 			delete(r.vms, name)
 			continue
 		}
-		var v vmRecord
-		if err := json.Unmarshal(c.Value, &v); err != nil {
-			r.logger.Error("invalid VM entry ignored", "vm", name, "error", err)
+		v, err := decodeVM(name, c.Value)
+		if err != nil {
+			r.logInvalid("invalid VM entry ignored", c.Row, err)
 			continue
 		}
 		r.vms[name] = guavacoord.VM{Cores: v.Cores, Identity: guavamember.Identity{
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -276,6 +276,9 @@
 		return nil
 	}
 	x.Close()
+	if x.Resent {
+		c.executions++ // the refusal says nothing of the first time that the request was sent
+	}
 	switch {
 	case info.Misdirected:
 		reservation.Release(guavaplace.Misdirected, 0)
@@ -283,7 +286,9 @@
 		reservation.Release(guavaplace.Shed, 0)
 	default:
 		reservation.Release(guavaplace.Failed, 0)
-		c.executions++
+		if !x.Resent {
+			c.executions++
+		}
 	}
 	c.avoid = append(c.avoid, c.server)
 	return fmt.Errorf("status %d", status)
