Keep the ports of TestEncryption open from their choice to the VM's start

It dropped the error of Node.Run.

The test took free ports of the ephemeral range and released them before the VM listened on them, so that a connection or a VM of another process could take them in between. Now the listeners stay open and are given to the VM as its network, which no other process can take, and an error of Run fails the test.

--- a/io/guavanode/security_test.go
+++ b/io/guavanode/security_test.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"crypto/x509"
 	"encoding/pem"
+	"fmt"
 	"math/big"
 	"net"
 	"os"
@@ -19,6 +20,7 @@
 	"guavaridge/io/guavaschema"
 	"guavaridge/io/guavasettings"
 	"guavaridge/io/guavastandin"
+	"guavaridge/io/guavatransport"
 )
 
 // certificate writes a self-signed certificate for 127.0.0.1, which also serves as its CA.
@@ -52,19 +54,37 @@
 	return guavasettings.Certificate{Cert: cert, Key: write("key.pem", "PRIVATE KEY", private), CA: cert}
 }
 
-// ports returns four free ports.
-func ports(t *testing.T) guavasettings.Ports {
+// reservedNetwork is the loopback network of one VM. Its listeners are open before the VM starts: a free port that is
+// determined and released can be taken by a connection or by another VM before it is used.
+type reservedNetwork struct {
+	guavanode.Network
+	listeners map[string]net.Listener
+}
+
+// reserve returns a network with listeners on four ports.
+func reserve(t *testing.T) (reservedNetwork, guavasettings.Ports) {
 	t.Helper()
+	n := reservedNetwork{Network: guavatransport.TCP(), listeners: map[string]net.Listener{}}
 	var p [4]int
 	for i := range p {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := n.Network.Listen("127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer l.Close()
+		t.Cleanup(func() { l.Close() })
 		p[i] = l.Addr().(*net.TCPAddr).Port
+		n.listeners[l.Addr().String()] = l
+	}
+	return n, guavasettings.Ports{Callers: p[0], Operators: p[1], Peers: p[2], Admin: p[3]}
+}
+
+// Listen implements guavanode.Network.
+func (n reservedNetwork) Listen(address string) (net.Listener, error) {
+	l, ok := n.listeners[address]
+	if !ok {
+		return nil, fmt.Errorf("listen on %s: the address is not reserved", address)
 	}
-	return guavasettings.Ports{Callers: p[0], Operators: p[1], Peers: p[2], Admin: p[3]}
+	return l, nil
 }
 
 // TestEncryption guards against VMs that exchange messages with a process whose certificate is from another CA, and
@@ -73,12 +93,13 @@
 	mutual, foreign := certificate(t), certificate(t)
 	platform := guavastandin.NewPlatform()
 	start := func(name, domain string, m guavasettings.Certificate, seeds ...string) guavasettings.Settings {
+		network, ports := reserve(t)
 		s := guavasettings.Settings{
-			Name: name, Address: "127.0.0.1", Domain: domain, Ports: ports(t), Seeds: seeds, Mutual: m,
+			Name: name, Address: "127.0.0.1", Domain: domain, Ports: ports, Seeds: seeds, Mutual: m,
 			TLS:       guavasettings.Certificate{Cert: mutual.Cert, Key: mutual.Key},
 			Operators: []guavasettings.Operator{{Name: "op", Role: "admin", Hash: guavaoperator.HashToken("token")}},
 		}.WithDefaults()
-		n, err := guavanode.New(s, platform.For(domain, name))
+		n, err := guavanode.New(s, platform.For(domain, name), guavanode.WithNetwork(network))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -86,7 +107,9 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			_ = n.Run(ctx)
+			if err := n.Run(ctx); err != nil {
+				t.Errorf("run VM %s: %v", name, err)
+			}
 		}()
 		t.Cleanup(func() { cancel(); <-done })
 		return s
