Retry to listen on a port that is in use

A process whose port another socket held at its start ended with exit status 1 ("bind: address already in use"), for instance when it was restarted at once after a kill, or when an outgoing connection had its port. It now tries again every 50 ms for 5 s, with a log line, and ends only then; other errors still end it at once. All four ports are opened before anything is started, the one for metrics too, whose failure left the other parts running.

guavaedge and guavanode use it. The in-memory network returns EADDRINUSE as the system does.

--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -226,11 +226,14 @@
 	e.logger.Info("start", "vm", e.settings.Name, "domain", e.settings.Domain, "front", e.settings.Front)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var listeners [3]net.Listener
-	for i, a := range [...]string{e.settings.Front, e.settings.Ready, e.settings.Peer} {
-		ln, err := e.network.Listen(a)
+	var listeners [4]net.Listener // the last is nil without an address for metrics
+	for i, a := range [...]string{e.settings.Front, e.settings.Ready, e.settings.Peer, e.settings.Metrics} {
+		if a == "" {
+			continue
+		}
+		ln, err := guavatransport.Listen(ctx, e.network, a, e.logger)
 		if err != nil {
-			return fmt.Errorf("listen: %w", err)
+			return err //nolint:wrapcheck // it names the address
 		}
 		defer ln.Close()
 		listeners[i] = ln
@@ -253,11 +256,7 @@
 	background(func(ctx context.Context) { e.servePeers(ctx, listeners[2]) })
 	ready := &fasthttp.Server{Handler: e.serveReady, NoDefaultServerHeader: true, NoDefaultDate: true, ReduceMemoryUsage: true}
 	group.Go(func() error { return serveUntil(ctx, ready.Serve, listeners[1]) })
-	if e.settings.Metrics != "" {
-		ln, err := e.network.Listen(e.settings.Metrics)
-		if err != nil {
-			return fmt.Errorf("listen for metrics: %w", err)
-		}
+	if ln := listeners[3]; ln != nil {
 		group.Go(func() error { return e.serveMetrics(ctx, ln) })
 	}
 	front := guavalisten.New(listeners[0], guavalisten.Options{
--- a/io/guavanetwork/network.go
+++ b/io/guavanetwork/network.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -60,7 +61,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if _, ok := n.listeners[address]; ok {
-		return nil, errors.Newf("listen on %s: address in use", address)
+		return nil, errors.Newf("listen on %s: %w", address, syscall.EADDRINUSE)
 	}
 	l := &listener{network: n, site: site, address: address, queue: make(chan net.Conn), done: make(chan struct{})}
 	n.listeners[address] = l
--- a/io/guavanode/run.go
+++ b/io/guavanode/run.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"guavaridge/io/guavapeer"
+	"guavaridge/io/guavatransport"
 )
 
 // releaseTimeout bounds the release of leases and slot at the end of a drain.
@@ -26,7 +27,7 @@
 
 // Run serves until a drain has finished, and returns nil then. When ctx ends, it stops immediately without a drain.
 func (n *Node) Run(ctx context.Context) error {
-	l, err := n.listen()
+	l, err := n.listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -133,7 +134,7 @@
 	callers, operators, peers, admin net.Listener
 }
 
-func (n *Node) listen() (*listeners, error) {
+func (n *Node) listen(ctx context.Context) (*listeners, error) {
 	l := &listeners{}
 	for _, a := range []struct {
 		address string
@@ -145,9 +146,9 @@
 		{n.settings.AdminAddress(), &l.admin},
 	} {
 		var err error
-		if *a.to, err = n.network.Listen(a.address); err != nil {
+		if *a.to, err = guavatransport.Listen(ctx, n.network, a.address, n.log); err != nil {
 			l.close()
-			return nil, errors.Newf("listen: %w", err)
+			return nil, err
 		}
 	}
 	return l, nil
