Retry failed accepts instead of ending the process

The process ended with exit status 1, and lost all of its requests, when one accept for callers or readiness probes failed, for instance without a free file descriptor (EMFILE, ENFILE), without buffers (ENOBUFS, ENOMEM), or by EPROTO: fasthttp returns from Serve at any error that is not a timeout, and the errgroup of Run then ends all other parts. Links of other VMs were retried already, and net/http and gRPC retry EMFILE and ENFILE themselves, but not the others.

--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -93,8 +94,11 @@
 	drain     chan struct{}
 	drainOnce sync.Once
 	updateMu  sync.Mutex // serializes updates of the other parts from the registry
-	mu        sync.Mutex
-	owners    []string // VMs that own jobs whose leases this VM monitors
+	// acceptFailures counts the failed accepts of all listeners.
+	acceptFailures atomic.Uint64
+
+	mu     sync.Mutex
+	owners []string // VMs that own jobs whose leases this VM monitors
 }
 
 // New assembles the process.
@@ -236,7 +240,7 @@
 			return err //nolint:wrapcheck // it names the address
 		}
 		defer ln.Close()
-		listeners[i] = ln
+		listeners[i] = guavalisten.Retry(ln, e.logger, &e.acceptFailures)
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	background := func(run func(ctx context.Context)) {
--- a/io/guavaedge/metrics.go
+++ b/io/guavaedge/metrics.go
@@ -92,6 +92,7 @@
 		{"guavaridge_repeated", "requests sent to another server", &g.Retried},
 		{"guavaridge_resumed", "streams that went on at another server", &g.Resumed},
 		{"guavaridge_connections_rejected", "connections over the limit", &g.Rejected},
+		{"guavaridge_accepts_failed", "accepts of connections that failed and were retried", &e.acceptFailures},
 		{"guavaridge_answers_over_budget", "answers of servers that were larger than the memory for them", &e.sender.OverBudget},
 		{"guavaridge_jobs", "jobs that this VM began to run", &l.Jobs},
 		{"guavaridge_jobs_adopted", "jobs taken over from other VMs", &l.Adopted},
--- a/io/guavanode/node.go
+++ b/io/guavanode/node.go
@@ -82,6 +82,7 @@
 	operatorServer  *grpc.Server
 	backendCounters guavaback.Counters
 	frontCounters   guavafront.Counters
+	acceptFailures  atomic.Uint64
 
 	// stopLeaseRunners stops the runners of the slot, the leases and the orders; leaseRunners waits for them.
 	stopLeaseRunners context.CancelFunc
--- a/io/guavanode/publish.go
+++ b/io/guavanode/publish.go
@@ -15,6 +15,7 @@
 		{"ended", "Running requests ended because their key was withdrawn.", func() int64 { return int64(n.frontCounters.Ended.Load()) }},
 		{"vanished", "Callers that left before their answer was complete.", func() int64 { return int64(n.frontCounters.Disconnected.Load()) }},
 		{"answered", "Requests answered by a backend server.", func() int64 { return int64(n.pipeline.Stats().Answered) }},
+		{"accepts_failed", "Accepts of connections that failed and were retried.", func() int64 { return int64(n.acceptFailures.Load()) }},
 		{"attempts", "Attempts sent to backend servers.", func() int64 { return int64(n.pipeline.Stats().Attempts) }},
 		{"retries", "Attempts after the first of a request.", func() int64 { return int64(n.pipeline.Stats().Retries) }},
 		{"resumes", "Streams resumed on another backend server.", func() int64 { return int64(n.pipeline.Stats().Resumes) }},
--- a/io/guavanode/run.go
+++ b/io/guavanode/run.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"guavaridge/io/guavalisten"
 	"guavaridge/io/guavapeer"
 	"guavaridge/io/guavatransport"
 )
@@ -145,11 +146,12 @@
 		{n.settings.PeerAddress(), &l.peers},
 		{n.settings.AdminAddress(), &l.admin},
 	} {
-		var err error
-		if *a.to, err = guavatransport.Listen(ctx, n.network, a.address, n.log); err != nil {
+		ln, err := guavatransport.Listen(ctx, n.network, a.address, n.log)
+		if err != nil {
 			l.close()
 			return nil, err
 		}
+		*a.to = guavalisten.Retry(ln, n.log, &n.acceptFailures)
 	}
 	return l, nil
 }
