Drop the requests of a VM's earlier link when it opens another

A coordinator kept the runs and waiting requests of a VM until it noticed the end of the VM's link. If the VM had opened another link by then (it gives a link up after 1.2 s of silence or 120 ms without a decision, and the end of the connection can be lost), they were never dropped: nobody released them, as the release is not sent while there is no link. Each such run held a slot until the new link ended. The same happened when a VM's process was restarted, with keys that count from 1 again. Callers saw refusals while servers had free slots.

A new link of a VM now closes the earlier one and drops its requests, under a lock that also orders them with the messages of both links: a link that ends no longer drops requests made on its successor, whose batch items would then have waited for good, and late messages of the earlier link are ignored.

--- a/io/guavacoord/client.go
+++ b/io/guavacoord/client.go
@@ -58,6 +58,10 @@
 
 	startupDone chan struct{} // closed startupTime after the start: this VM no longer waits for links to others
 
+	// incomingMu orders the messages of incoming links with the changes of the links: writers replace links and drop
+	// their requests, readers process messages. It is locked before mu.
+	incomingMu sync.RWMutex
+
 	mu            sync.Mutex
 	vms           []VM
 	services      []string       // of the configuration in force
--- a/io/guavacoord/link.go
+++ b/io/guavacoord/link.go
@@ -35,9 +35,7 @@
 // LinkUp implements guavamesh.Handler.
 func (c *Client) LinkUp(l *guavamesh.Link) {
 	if !l.Outgoing {
-		c.mu.Lock()
-		c.incoming[l.Peer.Name] = l
-		c.mu.Unlock()
+		c.addIncoming(l)
 	}
 	c.mu.Lock()
 	list := c.bans.list(time.Now())
@@ -63,19 +61,54 @@
 		c.mu.Unlock()
 		c.failPending(func(p *pendingRequest) bool { return p.vm == l.Peer.Name })
 	} else {
-		c.mu.Lock()
-		newest := c.incoming[l.Peer.Name] == l
-		if newest {
-			delete(c.incoming, l.Peer.Name)
-		}
-		c.mu.Unlock()
-		if newest {
-			c.local.removeVM(l.Peer.Name)
-		}
+		c.removeIncoming(l)
 	}
 	c.next.LinkDown(l)
 }
 
+// addIncoming records a link that a peer opened. If the peer opened an earlier one, its end has not been noticed yet:
+// the peer has given up the requests that it made on that link, or its process was restarted, so they are dropped.
+func (c *Client) addIncoming(l *guavamesh.Link) {
+	c.incomingMu.Lock()
+	defer c.incomingMu.Unlock()
+	c.mu.Lock()
+	earlier := c.incoming[l.Peer.Name]
+	c.incoming[l.Peer.Name] = l
+	c.mu.Unlock()
+	if earlier != nil {
+		earlier.Close()
+		c.local.removeVM(l.Peer.Name)
+	}
+}
+
+// removeIncoming drops the requests of the peer of a link that has ended, unless it has opened another link.
+func (c *Client) removeIncoming(l *guavamesh.Link) {
+	c.incomingMu.Lock()
+	defer c.incomingMu.Unlock()
+	c.mu.Lock()
+	newest := c.incoming[l.Peer.Name] == l
+	if newest {
+		delete(c.incoming, l.Peer.Name)
+	}
+	c.mu.Unlock()
+	if newest {
+		c.local.removeVM(l.Peer.Name)
+	}
+}
+
+// handleIncoming passes a message for this VM's coordinator to it. Messages that arrive after the peer has opened
+// another link are dropped.
+func (c *Client) handleIncoming(l *guavamesh.Link, message any) {
+	c.incomingMu.RLock()
+	defer c.incomingMu.RUnlock()
+	c.mu.Lock()
+	newest := c.incoming[l.Peer.Name] == l
+	c.mu.Unlock()
+	if newest {
+		c.local.handle(l.Peer.Name, message)
+	}
+}
+
 // Receive implements guavamesh.Handler.
 func (c *Client) Receive(l *guavamesh.Link, message any) {
 	switch m := message.(type) {
@@ -85,7 +118,7 @@
 	case banned:
 		c.addBans(l, m.List)
 	case submit, withdraw, started, release, join, leave, adopt, take:
-		c.local.handle(l.Peer.Name, message)
+		c.handleIncoming(l, message)
 	default:
 		c.next.Receive(l, message)
 	}
