Accept no link after the mesh has closed

A link that another VM opened while Mesh.Close waited was still served: its goroutine was added to a WaitGroup whose counter had reached zero. The link outlived Close, or WaitGroup panicked ("reused before previous Wait has returned"), which ends a process at the end of its drain with status 2. The panic was not seen in a run; it follows from the WaitGroup's documentation.

Goroutines of accepted links now start under the mutex that Close takes, as those of dialed links do. TestAcceptAfterClose on the code before:

connection to a closed mesh: got 194 bytes, error <nil>, want its end

--- a/io/guavamesh/mesh.go
+++ b/io/guavamesh/mesh.go
@@ -80,7 +80,7 @@
 			time.Sleep(minBackoff)
 			continue
 		}
-		m.running.Go(func() {
+		ok := m.start(func() {
 			l := newLink(c, false)
 			if err := l.handshake(m.self); err != nil {
 				c.Close()
@@ -88,7 +88,23 @@
 			}
 			m.run(l)
 		})
+		if !ok {
+			c.Close()
+			return
+		}
+	}
+}
+
+// start starts a goroutine that Close waits for, unless the mesh is closed. A WaitGroup panics if it is used again
+// while Wait returns.
+func (m *Mesh) start(f func()) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
 	}
+	m.running.Go(f)
+	return true
 }
 
 // SetPeers sets the VMs to which links are maintained. Outgoing links to others are closed.
--- a/io/guavamesh/mesh_test.go
+++ b/io/guavamesh/mesh_test.go
@@ -1,6 +1,7 @@
 package guavamesh_test
 
 import (
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -82,3 +83,27 @@
 		}
 	})
 }
+
+// TestAcceptAfterClose guards against links that are accepted while the mesh closes: their goroutines outlive Close, or
+// make its WaitGroup panic, which ends the process in the middle of its shutdown.
+func TestAcceptAfterClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := guavanetwork.New()
+		ln, err := network.Listen("b", "10.0.0.2:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		m := guavamesh.New(guavamember.Identity{Name: "b"}, network.Site("b").Dial, &recorder{}, hclog.NewNullLogger())
+		go m.Serve(ln)
+		m.Close()
+		c, err := network.Dial(t.Context(), "a", "10.0.0.2:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if got, err := io.ReadAll(c); err != nil || len(got) > 0 {
+			t.Errorf("connection to a closed mesh: got %d bytes, error %v, want its end", len(got), err)
+		}
+	})
+}
