Keep the job when a read fails while it is ended

When the commit of a job's end failed (a conflict with a commit of results, or no answer) and the read that followed failed too, the loop went on with an empty job at revision 0: it committed a row with an empty key. The store refuses such a row; one that accepts it would have made the VM answer 200 for an end that was never written, and the job's items would have gone on.

--- a/io/guavajobs/jobs_test.go
+++ b/io/guavajobs/jobs_test.go
@@ -178,3 +178,53 @@
 		t.Errorf("checks of 30 jobs for 20 s allocate %d bytes with 30 VMs and %d with 300, want less than twice as much", few, many)
 	}
 }
+
+// conflictingTable is a store with one row whose first commit fails with a conflict, and the read that follows with it.
+// It records the keys of all commits.
+type conflictingTable struct {
+	guavaplatform.RevisionTable
+	row     guavaplatform.Row
+	commits []string
+	reads   int
+}
+
+// Read implements guavaplatform.Table.
+func (t *conflictingTable) Read(context.Context, string) (guavaplatform.Row, error) {
+	if t.reads++; t.reads == 2 {
+		return guavaplatform.Row{}, guavaplatform.ErrUnavailable
+	}
+	return t.row, nil
+}
+
+// CommitAt implements guavaplatform.RevisionTable.
+func (t *conflictingTable) CommitAt(_ context.Context, _ []guavaplatform.Check, writes []guavaplatform.Write) (uint64, error) {
+	t.commits = append(t.commits, writes[0].Key)
+	if len(t.commits) == 1 {
+		return 0, guavaplatform.ErrConflict
+	}
+	return 30, nil
+}
+
+// TestEndAfterFailedRead guards against an end of a job that is acknowledged but not written: after a conflict and a
+// failed read, the commit wrote the row of a job without ID.
+func TestEndAfterFailedRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		value, err := json.Marshal(guavaprogress.Job{ID: "j", Account: "red", Total: 7})
+		if err != nil {
+			t.Fatal(err)
+		}
+		store := &conflictingTable{row: guavaplatform.Row{Key: "jobs/0/j", Value: value, Revision: 20}}
+		jobs := guavajobs.New(guavajobs.Dependencies{Table: store, Codec: codec{}, Logger: hclog.NewNullLogger()})
+		defer jobs.Close()
+		var w fasthttp.RequestCtx
+		jobs.Serve(t.Context(), &w, guavagate.Request{Operation: guavagate.JobEnd, Job: "j"}, "red")
+		if got := w.Response.StatusCode(); got != fasthttp.StatusOK {
+			t.Errorf("got status %d, want 200", got)
+		}
+		for i, key := range store.commits {
+			if key != store.commits[0] {
+				t.Errorf("commit %d: got row %q, want the job's row %q", i, key, store.commits[0])
+			}
+		}
+	})
+}
--- a/io/guavajobs/serve.go
+++ b/io/guavajobs/serve.go
@@ -140,7 +140,11 @@
 			l.unavailable(w, r, err)
 			return
 		}
-		if e, err = l.read(ctx, r.Job); err != nil && !pause(ctx, err) {
+		current, err := l.read(ctx, r.Job)
+		switch {
+		case err == nil:
+			e = current
+		case !pause(ctx, err):
 			l.unavailable(w, r, err)
 			return
 		}
