Keep serving when the reader of the log ends

Go ends a process with SIGPIPE when a write to its standard output or error fails with EPIPE, so a VM's process ended by itself, with all of its requests, at the first log line after the reader of its log had gone. The serve commands of guavaedge and guavaridge now ignore SIGPIPE; the write fails and the line is lost. Other commands still end, as in "explain | head".

--- a/cmd/guavaedge/main.go
+++ b/cmd/guavaedge/main.go
@@ -105,6 +105,8 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Without this, the first log line after the reader of the log has ended would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	go func() {
 		for got := range signals {
 			if got != syscall.SIGHUP {
--- a/io/guavacommand/serve.go
+++ b/io/guavacommand/serve.go
@@ -41,6 +41,8 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
+	// Without this, the first log line after the reader of the log has ended would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	go func() {
 		<-signals
 		vm.Drain()
