Answer 500 when the handler of a request panics

fasthttp does not recover, so a fault in the handler of one request ended the process of an entry VM with all of its requests. net/http recovers on each connection by default, and io/guavafront of this project does; the gateway now does too: it logs the stack with the request's id, answers 500 (which promises nothing about the execution), closes the connection, and counts the request as failed. No such fault is known; goroutines outside of handlers, and the relay of a streamed body after its handler has returned, are not covered.

--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -34,7 +35,8 @@
 	message fasthttp.Request
 
 	runCtx         context.Context
-	cancel         context.CancelCauseFunc
+	cancel         context.CancelCauseFunc // nil before begin
+	ended          bool
 	conn           *guavalisten.Connection
 	deadline       time.Time
 	isRetry        bool
@@ -151,11 +153,41 @@
 	}
 }
 
-// end releases what begin set up.
+// end releases what begin set up. Later calls do nothing.
 func (c *call) end() {
+	if c.cancel == nil || c.ended {
+		return
+	}
+	c.ended = true
 	if c.conn != nil {
 		c.conn.Unwatch()
 	}
 	c.cancel(nil)
 	c.gate.running.Add(-1)
 }
+
+// recoverPanic responds with status 500 if the handler panics. Like net/http, it confines the fault to the connection;
+// fasthttp does not, so that the process would end with all of its requests. The request may have been executed.
+func (c *call) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	c.gate.Counters.Failed.Add(1)
+	c.gate.Logger.Error("panic while serving a request", "id", c.request.ID, "panic", v, "stack", string(debug.Stack()))
+	// Response.Reset would also reset the settings of the HTTP server.
+	response := &c.ctx.Response
+	response.ResetBody()
+	response.ImmediateHeaderFlush = false
+	var names []string
+	for name := range response.Header.All() {
+		names = append(names, string(name))
+	}
+	for _, name := range names {
+		response.Header.Del(name)
+	}
+	c.ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	c.ctx.SetConnectionClose()
+	c.recordOutcome(Failed, causePanic)
+	c.end()
+}
--- a/io/guavagate/gateway.go
+++ b/io/guavagate/gateway.go
@@ -180,7 +180,9 @@
 }
 
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
-	c := &call{gate: g, ctx: ctx, request: g.Protocol.DecodeRequest(&ctx.Request.Header), arrived: time.Now()}
+	c := &call{gate: g, ctx: ctx, arrived: time.Now()}
+	defer c.recoverPanic()
+	c.request = g.Protocol.DecodeRequest(&ctx.Request.Header)
 	g.Counters.Requests.Add(1)
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
--- a/io/guavagate/outcome.go
+++ b/io/guavagate/outcome.go
@@ -32,6 +32,7 @@
 // the text of the error instead.
 const (
 	causeServer = "server failed"
+	causePanic  = "panic"
 	causeNone   = ""
 )
 
