--- a/io/guavaedge/metrics.go
+++ b/io/guavaedge/metrics.go
@@ -93,6 +93,7 @@
 		{"guavaridge_resumed", "streams that went on at another server", &g.Resumed},
 		{"guavaridge_servers_silent", "silences of servers for which another server was sought", &g.Silences},
 		{"guavaridge_connections_rejected", "connections over the limit", &g.Rejected},
+		{"guavaridge_accepts_failed", "accepts of connections that failed and were retried", &e.acceptFailures},
 		{"guavaridge_answers_over_budget", "answers of servers that were larger than the memory for them", &e.sender.OverBudget},
 		{"guavaridge_jobs", "jobs that this VM began to run", &l.Jobs},
 		{"guavaridge_jobs_adopted", "jobs taken over from other VMs", &l.Adopted},
--- a/io/guavagate/outcome.go
+++ b/io/guavagate/outcome.go
@@ -36,6 +36,7 @@
 	causeNoServer = "no server for the rest"
 	causeDeadline = "deadline"
 	causeClosing  = "VM closing"
+	causePanic    = "panic"
 	causeNone     = ""
 )
 
