Retry an item that servers crashed under after at most 1 s

Callers saw items of batch jobs that were not placed again after a burst of server crashes: from the third attempt in a row that broke off without an event, a job held the item back for 3, 12, 30, 30 ... s, and the count of crashes was saved, so a VM that took the job over went on with it. Three deaths or silences of servers that have nothing to do with the item (a silence of 2.5 s counts, too) were enough, while the users' rule wants an item placed within 5 s of calm.

From the third such attempt on, the delay is now 1 s and does not grow. The first two retries are at once, as before. The count only paces retries, so it is no longer saved; rows with a count still load (TestSavedCrashes).

On the code before, TestItemAfterBurst (servers crash under an item for 15 s and restart; with the job's owner, the coordinator, or both killed in the middle) fails: servers crashed 5 times under an item, want at least 8 job j: got 0 of 2 results after 3s (status 200) and TestSavedCrashes fails with: first crash after a restore: got action "hold", want Retry.

TestItemRetryBackoff asserted the old rule: three runs in 2.5 s and at most six in 46 s. TestItemRetryDelay replaces it: after the third run each begins 1 s to 2.5 s after the one before, for 46 s, and the job completes within 4 s of the servers' recovery (20 s before). On the code before it fails: run 4 began 12s after the one before. The part of TestActions on the backoff is replaced by the new delay, for five crashes in a row instead of three.

The price: an item that crashes each server that runs it now runs 62 times a minute instead of 6 (counted in the bubble of that test, servers that restart after 0.4 s and after 3 s), one server at a time, until its retention ends. The users' page says that items are never requests that crash servers by themselves, so this is not expected, whereas a burst of crashes is; an operator ends such a job. Answers of 500 and 422 end an item as before.

--- a/core/guavaprogress/job.go
+++ b/core/guavaprogress/job.go
@@ -113,8 +113,8 @@
 	text      []byte
 	lastEvent int
 	events    int
-	// failures counts responses that report a failed execution. crashes counts consecutive attempts that a server crash
-	// ended before any event.
+	// failures counts responses that report a failed execution. crashes counts consecutive attempts that broke off before
+	// any event; it only paces retries, and is not saved.
 	failures int
 	crashes  int
 }
@@ -128,17 +128,16 @@
 	Last     int    `json:"last"`
 	Events   int    `json:"events"`
 	Failures int    `json:"failures"`
-	Crashes  int    `json:"crashes"`
 }
 
 // Save returns the progress in the form in which it is stored.
 func (p *Progress) Save() SavedProgress {
-	return SavedProgress{Text: string(p.text), Last: p.lastEvent, Events: p.events, Failures: p.failures, Crashes: p.crashes}
+	return SavedProgress{Text: string(p.text), Last: p.lastEvent, Events: p.events, Failures: p.failures}
 }
 
 // Restore returns the Progress from its stored form.
 func Restore(s SavedProgress) *Progress {
-	return &Progress{text: []byte(s.Text), lastEvent: s.Last, events: s.Events, failures: s.Failures, crashes: s.Crashes}
+	return &Progress{text: []byte(s.Text), lastEvent: s.Last, events: s.Events, failures: s.Failures}
 }
 
 // LastEvent returns the number of the last event; -1 before the first.
@@ -175,20 +174,18 @@
 const (
 	// Retry resumes the item after its last event.
 	Retry Action = "again"
-	// RetryAfterBackoff retries the item after Progress.Backoff, because it may be crashing servers.
-	RetryAfterBackoff Action = "hold"
+	// RetryAfterDelay resumes the item after RetryDelay.
+	RetryAfterDelay Action = "hold"
 	// GiveUp ends the item in state Dead.
 	GiveUp Action = "give up"
 )
 
 const (
-	// crashThreshold is the number of consecutive server crashes from which retries of an item are delayed.
+	// RetryDelay is the delay before an item is retried whose attempts keep breaking off. It limits the load on servers
+	// that restart in turn. It does not grow: the servers are at fault, so the item is due as soon as they have recovered.
+	RetryDelay = time.Second
+	// crashThreshold is the number of consecutive attempts without an event from which retries are delayed.
 	crashThreshold = 3
-	// minBackoff is the first backoff: servers that restart in turn are available again by then. Each further backoff is
-	// backoffFactor times longer, up to maxBackoff: 3, 12 and 30 s fit into a retention of a minute.
-	minBackoff    = 3 * time.Second
-	backoffFactor = 4
-	maxBackoff    = 30 * time.Second
 )
 
 // RecordFailure records a response that reports a failed execution, and returns GiveUp after the given number of them.
@@ -200,17 +197,6 @@
 	return Retry
 }
 
-// Backoff returns the delay before the next attempt of an item that may be crashing servers. The first backoff is
-// short, because restarting servers look the same, and a fleet recovers from failures within seconds. Later ones are
-// longer, so that an item that does crash servers gets only three more attempts in a retention of a minute.
-func (p *Progress) Backoff() time.Duration {
-	backoff := minBackoff
-	for range p.crashes - crashThreshold {
-		backoff = min(backoffFactor*backoff, maxBackoff)
-	}
-	return backoff
-}
-
 // RecordCrash records an attempt that broke off, with the number of events it produced. Any event resets the count of
 // crashes.
 func (p *Progress) RecordCrash(events int) Action {
@@ -220,7 +206,7 @@
 	}
 	p.crashes++
 	if p.crashes >= crashThreshold {
-		return RetryAfterBackoff
+		return RetryAfterDelay
 	}
 	return Retry
 }
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -73,12 +73,12 @@
 }
 
 // unsaved returns the progress, and whether it is worth saving: it has at least minEvents new events, or another
-// failure or crash, which limits the attempts of the VM that runs the item next.
+// failure, which limits the attempts of the VM that runs the item next.
 func (r *itemRun) unsaved(minEvents int) (guavaprogress.SavedProgress, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.progress.Save()
-	return s, s.Events >= r.saved.Events+minEvents || s.Failures > r.saved.Failures || s.Crashes > r.saved.Crashes
+	return s, s.Events >= r.saved.Events+minEvents || s.Failures > r.saved.Failures
 }
 
 // markSaved records that the store has this progress.
@@ -101,12 +101,6 @@
 	return r.progress.RecordCrash(events)
 }
 
-func (r *itemRun) backoff() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.progress.Backoff()
-}
-
 func (r *itemRun) addEvent(e guavaevent.Event) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -136,9 +130,9 @@
 			return guavaprogress.Result{ID: r.item.ID, State: guavaprogress.Succeeded, Text: r.progress.Text()}, true
 		case guavaprogress.GiveUp:
 			return r.giveUp(reason), true
-		case guavaprogress.RetryAfterBackoff:
+		case guavaprogress.RetryAfterDelay:
 			r.runner.jobs.Logger.Warn("item retry delayed", "item", r.item.ID, "job", job.ID, "cause", reason)
-			r.wait(ctx, min(r.backoff(), time.Until(expiry)))
+			r.wait(ctx, guavaprogress.RetryDelay)
 		}
 	}
 	return guavaprogress.Result{}, false
@@ -327,7 +321,7 @@
 	r.avoid = []string{reservation.Server}
 	l.Counters.Resumed.Add(1)
 	r.logEnd(r.runner.job, reservation, "broken", err.Error())
-	return r.recordCrash(r.progress.Events() - before), "crashes servers"
+	return r.recordCrash(r.progress.Events() - before), "servers broke off"
 }
 
 // handleRejection releases the reservation of an attempt that got an error response, and returns what to do next.
