Send an item to a server that it avoids when no other has room

Callers saw an item that was never placed again while a server of its service was idle: a job avoids the server of an item's last failed attempt, the scheduler took that as a ban, and batch items have no maximum wait. When crashes or removals left that server as the only one, or the others stayed full or unreachable, the item waited until its retention ended.

A batch item now avoids servers for 1 s from its submission; after that it may run on any. Online requests keep the ban: they have a maximum wait, and their attempts are counted against their route.

--- a/core/guavaplace/dispatch.go
+++ b/core/guavaplace/dispatch.go
@@ -82,7 +82,8 @@
 }
 
 // expire refuses requests found to crash servers and late requests that have reached their maximum wait. It moves
-// online requests that can no longer start in time to the late ones.
+// online requests that can no longer start in time to the late ones. Batch items that have waited for avoidTime may run
+// on any server.
 func (s *Scheduler) expire(now time.Time) {
 	if !s.crashes.IsEmpty() {
 		refused := func(w *waitingRequest) bool { return s.refuseCrashing(now, w) }
@@ -102,6 +103,11 @@
 		s.refuse(now, w, "patience")
 		return true
 	})
+	for _, w := range s.batch {
+		if now.Sub(w.arrivedAt) >= avoidTime {
+			w.Avoid = nil
+		}
+	}
 }
 
 // scheduleFree runs a request on the best server with a free slot and reports whether there is one.
--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -47,7 +47,7 @@
 	// Content is the sum of the fingerprint of an online request, by which a retry of a request that crashes servers is
 	// recognized; 0 if it has none.
 	Content uint64
-	// Avoid lists the servers that earlier attempts of the request were sent to.
+	// Avoid lists the servers that earlier attempts of the request were sent to. A batch item avoids them for avoidTime.
 	Avoid []string
 }
 
--- a/core/guavaplace/scheduler_test.go
+++ b/core/guavaplace/scheduler_test.go
@@ -180,6 +180,22 @@
 	want(t, "next request", s.Submit(at(1200*time.Millisecond), online(6)), "6 run")
 }
 
+// TestOnlyAvoidedServerLeft guards against a batch item that is never placed because it avoids the only server with a
+// free slot, and against one that is placed there before another server has had time to take it.
+func TestOnlyAvoidedServerLeft(t *testing.T) {
+	s := newScheduler(2, 1)
+	want(t, "other item", s.Submit(epoch, batch(1, 20*time.Second)), "1 run") // on s0, which is in its domain
+	item := batch(2, 20*time.Second)
+	item.Avoid = []string{"s1"}
+	want(t, "item", s.Submit(epoch, item), "2 wait")
+	want(t, "soon after", s.Tick(at(900*time.Millisecond)))
+	got := s.Tick(at(1100 * time.Millisecond))
+	want(t, "later", got, "2 run")
+	if len(got) == 1 && got[0].Server != "s1" {
+		t.Errorf("got server %s, want s1", got[0].Server)
+	}
+}
+
 // TestUnreachableDomain guards against requests that find the servers of an unreachable failure domain one by one, and
 // against a domain that is not used again once it is reachable.
 func TestUnreachableDomain(t *testing.T) {
--- a/core/guavaplace/waiting.go
+++ b/core/guavaplace/waiting.go
@@ -11,6 +11,9 @@
 	nearlyDoneShare = 0.2
 	// minSlack is the slack below which a batch item that has not begun counts as late.
 	minSlack = 500 * time.Millisecond
+	// avoidTime is how long a batch item waits for a server that it does not avoid. Items have no maximum wait, so without
+	// a limit an item would wait forever when the servers that it avoids are the only ones left.
+	avoidTime = time.Second
 	// reviewDivisor divides Start to give the time after which a waiting online request is checked once more. A refusal
 	// within a quarter of the target leaves the caller time for a useful retry.
 	reviewDivisor = 5
