End a probe with the first byte of its response

Callers saw items that waited for many seconds with servers nearly empty, after these had broken off. A server whose breaker is open takes one request at a time until one is complete. That is right for requests of a few hundred milliseconds, but a batch item streams for many seconds, and meanwhile all other items and online requests of that failure domain waited.

The first byte of a probe's response now lets the next request through, one after another; a complete response still removes the breaker, and a failure makes the next pause longer as before. Responses to requests sent before the failure do not count.

--- a/core/guavaplace/breaker.go
+++ b/core/guavaplace/breaker.go
@@ -12,7 +12,8 @@
 	pathFailureServers = 2
 )
 
-// breaker is a circuit breaker for a server or a path. After each backoff, it lets a single request through as a probe.
+// breaker is a circuit breaker for a server or a path. After each backoff, it lets a single request through as a probe,
+// and after the first byte of its response the next one. A complete response removes the breaker.
 type breaker struct {
 	until   time.Time
 	backoff time.Duration
@@ -33,6 +34,14 @@
 	p.until = now.Add(p.backoff)
 }
 
+// recordFirstByte ends a probe whose response has begun. Responses to requests that were sent before the last failure
+// are ignored.
+func (p *breaker) recordFirstByte(startedAt time.Time) {
+	if p != nil && !startedAt.Before(p.until) {
+		p.probing = false
+	}
+}
+
 // path leads from the VMs of one failure domain to the servers of another.
 type path struct{ from, to string }
 
@@ -66,6 +75,11 @@
 	}
 }
 
+// recordFirstByte records that the response to a request that was sent at startedAt has begun.
+func (p paths) recordFirstByte(startedAt time.Time, from, to string) {
+	p.breakers[path{from, to}].recordFirstByte(startedAt)
+}
+
 func (p paths) recordOutcome(now time.Time, from string, v *server, o Outcome) {
 	key := path{from, v.Domain}
 	s := p.breakers[key]
--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -121,6 +121,8 @@
 	}
 	if !r.responding {
 		r.responding = true
+		r.server.breakers[r.request.Domain].recordFirstByte(r.startedAt)
+		s.paths.recordFirstByte(r.startedAt, r.request.Domain, r.server.Domain)
 		s.estimates[r.request.Class].firstByteSeconds.add(now.Sub(r.startedAt).Seconds())
 	}
 	if l != nil {
--- a/core/guavaplace/scheduler_test.go
+++ b/core/guavaplace/scheduler_test.go
@@ -180,6 +180,23 @@
 	want(t, "next request", s.Submit(at(1200*time.Millisecond), online(6)), "6 run")
 }
 
+// TestProbeEndsWithFirstByte guards against items that wait for the end of a probe's response, which takes many seconds
+// for a stream, although its beginning shows that the server works. The response to a request that was sent before the
+// failure shows nothing.
+func TestProbeEndsWithFirstByte(t *testing.T) {
+	s := newScheduler(1, 8)
+	want(t, "run that outlives the failure", s.Submit(epoch, batch(1, time.Minute)), "1 run")
+	want(t, "run that fails", s.Submit(epoch, batch(2, time.Minute)), "2 run")
+	s.Release(at(time.Millisecond), guavaplace.Report{Key: batch(2, 0).Key, Outcome: guavaplace.ConnectionLost})
+	want(t, "probe", s.Submit(at(time.Second), batch(3, time.Minute)), "3 run")
+	want(t, "item", s.Submit(at(time.Second), batch(4, time.Minute)), "4 wait")
+	s.Started(at(1100*time.Millisecond), batch(1, 0).Key, nil)
+	want(t, "first byte of the older run", s.Tick(at(1100*time.Millisecond)))
+	s.Started(at(1200*time.Millisecond), batch(3, 0).Key, nil)
+	want(t, "first byte of the probe", s.Tick(at(1200*time.Millisecond)), "4 run")
+	want(t, "before the first byte of the next", s.Submit(at(1200*time.Millisecond), batch(5, time.Minute)), "5 wait")
+}
+
 // TestOnlyAvoidedServerLeft guards against a batch item that is never placed because it avoids the only server with a
 // free slot, and against one that is placed there before another server has had time to take it.
 func TestOnlyAvoidedServerLeft(t *testing.T) {
