Free the slots of a VM that opens a new link to the coordinator

Callers saw items that waited without end while their servers were idle. A coordinator drops the runs of a VM when the link from it ends, but ignored the end of a link that the VM had replaced. When packets were lost for 1.2 to 2 s, the VM gave the link up and opened another before the coordinator noticed. The releases that the VM sent in between were lost, and the coordinator kept these runs, with their slots, memory and places among unstarted items, until the VM's next link ended.

A new link of a VM now ends the previous one at the coordinator and drops the VM's requests before any message of the new link is read.

--- a/io/guavacoord/coordinator.go
+++ b/io/guavacoord/coordinator.go
@@ -231,10 +231,15 @@
 
 // removeVM drops the waiting and running requests of a VM and its use of the groups of client accounts.
 func (c *coordinator) removeVM(vm string) {
+	c.removeRequests(vm)
+	c.setGroups(vm, nil)
+}
+
+// removeRequests drops the waiting and running requests of a VM.
+func (c *coordinator) removeRequests(vm string) {
 	for _, name := range c.shardNames() {
 		c.withScheduler(name, func(s *guavaplace.Scheduler) []guavaplace.Decision { return s.RemoveVM(time.Now(), vm) })
 	}
-	c.setGroups(vm, nil)
 }
 
 // setGroups records for which groups of client accounts a VM requests tokens from this one.
--- a/io/guavacoord/link.go
+++ b/io/guavacoord/link.go
@@ -36,8 +36,15 @@
 func (c *Client) LinkUp(l *guavamesh.Link) {
 	if !l.Outgoing {
 		c.mu.Lock()
+		previous := c.incoming[l.Peer.Name]
 		c.incoming[l.Peer.Name] = l
 		c.mu.Unlock()
+		if previous != nil {
+			// The peer opens a link after it has given up the previous one, of which this end may not know yet. Releases
+			// may have been lost with it; the peer joins anew and lists the runs that it still has.
+			previous.Close()
+			c.local.removeRequests(l.Peer.Name)
+		}
 	}
 	c.mu.Lock()
 	list := c.bans.list(time.Now())
