--- a/io/guavacoord/link.go
+++ b/io/guavacoord/link.go
@@ -77,7 +77,7 @@
 	c.mu.Unlock()
 	if earlier != nil {
 		earlier.Close()
-		c.local.removeVM(l.Peer.Name)
+		c.local.removeRequests(l.Peer.Name)
 	}
 }
 
