--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -89,7 +89,7 @@
 	case info.NotExecuted:
 		x.Close()
 		reservation.Release(guavaplace.Shed, 0)
-		if info.Leaving {
+		if info.Leaving && !x.Resent {
 			c.unexecuted-- // not counted: the coordinator no longer grants the server, so each is tried once at most
 		}
 		return false, retryRefused("shed")
