Report a server that is silent before its first event as silent

What callers saw: after three requests with the same content whose servers sent headers and then nothing for 1.5 s, further ones were refused with 503 for 10 s as if the content crashed servers.

Cause: the exchange that is closed for a silence fails with a read error, which was reported as a lost connection, unlike a silence before the headers. Three lost connections count as crashes. The late answer of the second server can't clear the count, since its reservation was released at the response timeout.

Change: a wait that ends for a silence is an errSilent also within a stream. The first events that arrive in the moment at which the wait ends are dropped if the request is sent again, instead of being relayed from a connection that closes.

TestSilenceIsNoCrash failed before (503 for the fourth and fifth request) and passes now; TestSilence, TestStop and TestSeries pass 3 times with -race.

--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -138,10 +138,21 @@
 // fill reads until there is a complete event or the response ends. A silent server is left only for another one that
 // can go on.
 func (s *stream) fill() error {
-	if s.events == 0 || s.lastEventID >= 0 {
-		watch := s.call.watchSilence(s.phase(), s.call.interrupt)
-		defer watch.stop()
+	first := s.events == 0
+	if !first && s.lastEventID < 0 {
+		return s.readEvents()
 	}
+	watch := s.call.watchSilence(s.phase(), s.call.interrupt)
+	err := s.readEvents()
+	// Events that arrive as the wait ends are dropped if the caller has none yet: the request is sent again from its start.
+	if watch.stop() && !s.done && (first || err != nil) {
+		return errors.Join(errSilent, err)
+	}
+	return err
+}
+
+// readEvents reads until there is a complete event or the response ends.
+func (s *stream) readEvents() error {
 	for len(s.pending) == 0 && !s.done {
 		n, err := s.exchange.Read(s.buffer)
 		s.splitter.Write(s.buffer[:n])
