Leave a closing VM time to write its last responses

What callers saw: EOF instead of the response of a request that a closing VM had cancelled.

Cause: a request counts as ended when its handler returns, and the HTTP server writes the response after that. Close polled the count and closed all connections at once when it was 0, so a response not yet written, as on a busy VM, was lost.

Change: Close waits another 20 ms, as guavafront does. The end of the grace period reserves 300 ms, of which Close may now use 120.

TestCloseAfterResponses failed before (status 0, EOF) and passes now, 5 times with -race; the tests of stops, silences, restarts, jobs and series of changes pass with -race.

--- a/io/guavagate/gateway.go
+++ b/io/guavagate/gateway.go
@@ -96,6 +96,8 @@
 	closeTimeout = 100 * time.Millisecond
 	// closePollInterval is the interval at which Close checks whether there are such requests.
 	closePollInterval = 5 * time.Millisecond
+	// lastWriteTime is left for writing the responses of such requests, which the HTTP server does after they have ended.
+	lastWriteTime = 20 * time.Millisecond
 )
 
 // Causes of the cancellation of a request.
@@ -189,6 +191,7 @@
 	for end := time.Now().Add(closeTimeout); g.Running() > 0 && time.Now().Before(end); {
 		time.Sleep(closePollInterval)
 	}
+	time.Sleep(lastWriteTime)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range g.listeners {
