Free the slots of a VM whose link was replaced before its end was noticed

What callers saw: nothing at once. Slots of a coordinator stay taken for good, so that requests are refused although servers are idle.

Cause: a VM closes the link to a coordinator that does not reply within 120 ms, and opens another one 100 ms later. What it releases in between reaches no one. The coordinator drops the requests of a VM when its link ends, but not if another link has replaced it by then, as after lost packets or a pause of the coordinator's process: the end of the old link is noticed after the new one is up. Class: a link destroyed on a suspicion, and a state that the end of the link was to clean up.

Change: the new link drops the requests of the earlier one, which is closed, and whose remaining messages are ignored. The VM sends the list of its runs on the new link, as before.

--- a/io/guavacoord/client.go
+++ b/io/guavacoord/client.go
@@ -58,6 +58,10 @@
 
 	startupDone chan struct{} // closed startupTime after the start: this VM no longer waits for links to others
 
+	// incomingMu is held exclusively while the link of a VM is replaced or removed together with its requests, and shared
+	// while a request is processed.
+	incomingMu sync.RWMutex
+
 	mu            sync.Mutex
 	vms           []VM
 	services      []string       // of the configuration in force
--- a/io/guavacoord/link.go
+++ b/io/guavacoord/link.go
@@ -35,9 +35,7 @@
 // LinkUp implements guavamesh.Handler.
 func (c *Client) LinkUp(l *guavamesh.Link) {
 	if !l.Outgoing {
-		c.mu.Lock()
-		c.incoming[l.Peer.Name] = l
-		c.mu.Unlock()
+		c.replaceIncoming(l)
 	}
 	c.mu.Lock()
 	list := c.bans.list(time.Now())
@@ -51,6 +49,35 @@
 	c.next.LinkUp(l)
 }
 
+// replaceIncoming makes l the link on which a VM sends its requests. The end of an earlier link may not have been noticed
+// yet. The VM has dropped what it requested on that link, and sends the list of its runs on the new one.
+func (c *Client) replaceIncoming(l *guavamesh.Link) {
+	c.incomingMu.Lock()
+	c.mu.Lock()
+	earlier := c.incoming[l.Peer.Name]
+	c.incoming[l.Peer.Name] = l
+	c.mu.Unlock()
+	if earlier != nil {
+		c.local.removeVM(l.Peer.Name)
+	}
+	c.incomingMu.Unlock()
+	if earlier != nil {
+		earlier.Close()
+	}
+}
+
+// receiveRequest passes a message on to the coordinator of this VM, unless its link was replaced by a newer one.
+func (c *Client) receiveRequest(l *guavamesh.Link, message any) {
+	c.incomingMu.RLock()
+	defer c.incomingMu.RUnlock()
+	c.mu.Lock()
+	newest := c.incoming[l.Peer.Name] == l
+	c.mu.Unlock()
+	if newest {
+		c.local.handle(l.Peer.Name, message)
+	}
+}
+
 // LinkDown implements guavamesh.Handler.
 func (c *Client) LinkDown(l *guavamesh.Link) {
 	if l.Outgoing {
@@ -63,6 +90,7 @@
 		c.mu.Unlock()
 		c.failPending(func(p *pendingRequest) bool { return p.vm == l.Peer.Name })
 	} else {
+		c.incomingMu.Lock()
 		c.mu.Lock()
 		newest := c.incoming[l.Peer.Name] == l
 		if newest {
@@ -72,6 +100,7 @@
 		if newest {
 			c.local.removeVM(l.Peer.Name)
 		}
+		c.incomingMu.Unlock()
 	}
 	c.next.LinkDown(l)
 }
@@ -85,7 +114,7 @@
 	case banned:
 		c.addBans(l, m.List)
 	case submit, withdraw, started, release, join, leave, adopt, take:
-		c.local.handle(l.Peer.Name, message)
+		c.receiveRequest(l, message)
 	default:
 		c.next.Receive(l, message)
 	}
