Keep the slot of a silent run, and count its late response

What callers saw: after servers had been silent for 1.3 s and had answered all their requests, 6 of 8 concurrent requests got 503, 100 ms as well as 60 s later.

Cause: the report of a silence ended the run at the coordinator. The late response counted for nothing: the breaker stayed half open and let one request through, the slot counted as free while it was busy, and the suspicion that the content crashes servers stayed.

Change: the report says that the run goes on. It opens the breaker as before, but the run keeps its slot, and its end counts as that of any other. The estimates leave silent runs out. Coordinators of earlier versions ignore the new field and end the run as before (gob ignores unknown fields; mixed versions were not run).

--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -120,16 +120,37 @@
 		return
 	}
 	if !r.responding {
-		r.responding = true
 		r.server.breakers[r.request.Domain].recordFirstByte(r.startedAt)
 		s.paths.recordFirstByte(r.startedAt, r.request.Domain, r.server.Domain)
+	}
+	if !r.responding && !r.silent {
 		s.estimates[r.request.Class].firstByteSeconds.add(now.Sub(r.startedAt).Seconds())
 	}
+	r.responding = true
 	if l != nil {
 		r.server.foreignLoad, r.server.loadReportedAt = max(l.Running+l.Waiting-len(r.server.runs), 0), now
 	}
 }
 
+// Silent records that no byte of a response to a run has arrived in time. The run goes on, since its server may be sound:
+// it keeps its slot, and its outcome counts as that of any other.
+func (s *Scheduler) Silent(now time.Time, k Key) []Decision {
+	s.resetDecisions()
+	r := s.runs[k]
+	if r == nil || r.silent {
+		return nil
+	}
+	r.silent = true
+	r.server.recordOutcome(now, r, TimedOut)
+	if p := r.server.breakers[r.request.Domain]; p != nil {
+		p.probing = false // the next probe need not wait for the end of this run
+	}
+	limitFailing(s.servers)
+	s.recordCrash(now, r, TimedOut)
+	s.dispatch(now)
+	return s.decisions
+}
+
 // Release ends a run and returns the decisions about requests that can now start.
 func (s *Scheduler) Release(now time.Time, p Report) []Decision {
 	s.resetDecisions()
@@ -139,7 +160,7 @@
 	}
 	s.removeRun(r)
 	elapsed := now.Sub(r.startedAt)
-	if p.Outcome == Done && elapsed > 0 {
+	if p.Outcome == Done && elapsed > 0 && !r.silent {
 		e := s.estimates[r.request.Class]
 		expected := e.duration(r.request.Work)
 		if p.Work > 0 && e.secondsPerToken.known {
@@ -148,10 +169,12 @@
 		r.server.slowdown.add(elapsed.Seconds() / max(expected.Seconds(), 0.001))
 		e.add(elapsed, r.request.Work, p.Work)
 	}
-	r.server.recordOutcome(now, r, p.Outcome)
-	limitFailing(s.servers)
-	s.paths.recordOutcome(now, r.request.Domain, r.server, p.Outcome)
-	s.recordCrash(now, r, p.Outcome)
+	if !r.silent || p.Outcome != TimedOut { // else it is recorded already
+		r.server.recordOutcome(now, r, p.Outcome)
+		limitFailing(s.servers)
+		s.paths.recordOutcome(now, r.request.Domain, r.server, p.Outcome)
+		s.recordCrash(now, r, p.Outcome)
+	}
 	s.dispatch(now)
 	return s.decisions
 }
--- a/core/guavaplace/server.go
+++ b/core/guavaplace/server.go
@@ -40,6 +40,7 @@
 	expectedEnd time.Time
 	deadline    time.Time // of a batch item
 	responding  bool
+	silent      bool // no byte of a response has arrived in time
 }
 
 // slack is the time between the expected end of a batch item and its deadline.
--- a/io/guavacoord/coordinator.go
+++ b/io/guavacoord/coordinator.go
@@ -206,7 +206,12 @@
 		c.withScheduler(m.Service, func(s *guavaplace.Scheduler) []guavaplace.Decision { return s.Withdraw(time.Now(), m.Key) })
 	case release:
 		c.notices.RecordNotices(m.Notices)
-		c.withScheduler(m.Service, func(s *guavaplace.Scheduler) []guavaplace.Decision { return s.Release(time.Now(), m.Report) })
+		c.withScheduler(m.Service, func(s *guavaplace.Scheduler) []guavaplace.Decision {
+			if m.Continues {
+				return s.Silent(time.Now(), m.Report.Key)
+			}
+			return s.Release(time.Now(), m.Report)
+		})
 	case started:
 		c.notices.RecordNotices(m.Notices)
 		c.withScheduler(m.Service, func(s *guavaplace.Scheduler) []guavaplace.Decision {
--- a/io/guavacoord/message.go
+++ b/io/guavacoord/message.go
@@ -37,6 +37,9 @@
 		Service string
 		Report  guavaplace.Report
 		Notices []guavatraffic.Incarnation
+		// Continues reports that the run goes on although no byte of a response has arrived in time. Coordinators of
+		// earlier versions ignore it and end the run.
+		Continues bool
 	}
 	// join makes the receiver the coordinator of the sender for a shard. Held lists the sender's active runs.
 	join struct {
--- a/io/guavacoord/reservation.go
+++ b/io/guavacoord/reservation.go
@@ -63,6 +63,13 @@
 	p.client.sendToCoordinator(p.service, m)
 }
 
+// Silent reports that no byte of a response has arrived in time. The request may go on.
+func (p *Reservation) Silent() {
+	p.client.sendToCoordinator(p.service, release{
+		Service: p.service, Report: guavaplace.Report{Key: p.request.Key, Outcome: guavaplace.TimedOut}, Continues: true,
+	})
+}
+
 // Release releases the reservation; later calls do nothing. Work is the number of output tokens that were generated.
 func (p *Reservation) Release(o guavaplace.Outcome, work float64) {
 	p.releaseOnce.Do(func() {
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -189,7 +189,7 @@
 		r.MaxIdle = repeatableMaxIdle
 	}
 	// The coordinator learns of a silent server also if the request waits for it until its deadline.
-	report := time.AfterFunc(guavasilence.ResponseTimeout(c.route), func() { reservation.Release(guavaplace.TimedOut, 0) })
+	report := time.AfterFunc(guavasilence.ResponseTimeout(c.route), reservation.Silent)
 	defer report.Stop()
 	// The exchange ends with this context; its end releases the context of the attempt, that of the call at the latest.
 	ctx, interrupt := context.WithCancelCause(c.runCtx)
