Release a run at a coordinator that was left before it decided

If a VM switches coordinators while another of its requests is being submitted, the submission can reach the old coordinator after the message that the VM has left it. The old one then kept the run, with its slot, until its link to the VM ended. The VM now releases it there.

--- a/io/guavacoord/reservation.go
+++ b/io/guavacoord/reservation.go
@@ -153,7 +153,9 @@
 		reservation.requestYield()
 	}
 	if changed {
-		// The coordinator changed before the decision arrived; the new one does not know of the reservation.
+		// The coordinator changed before the decision arrived; the new one does not know of the reservation. The request may
+		// have reached the previous one after the message that this VM has left it.
+		c.send(vm, release{Service: service, Report: guavaplace.Report{Key: r.Key, Outcome: guavaplace.Cancelled}})
 		c.sendToCoordinator(service, join{Service: service, Held: []guavaplace.ActiveRun{{Request: r, Server: d.Server}}})
 	}
 	return reservation, nil
