Announce a VM again when its row is lost

A VM wrote its row in the table of VMs once. A call that got no response may be executed seconds later, so the removal of the row by the VM's previous process could take away the row of the new one: no other VM then knew it for good, none linked to it, and its jobs counted as abandoned and were taken over again and again. A late announcement of the previous process replaced the row in the same way. And a VM that could not announce itself until it was told to stop did so afterwards, when the store was back, and left its row behind.

The registry now compares changes of its own row with its last write and writes the row again, at most once a second and not for a row of a later process; after the start of a drain it writes none. The writes are serialized.

On the code before:

TestAnnouncementLost/removed: row of the VM: got "", want its address TestAnnouncementLost/replaced: got {"address":"10.1.0.9:1",...,"incarnation":7} TestLeaveBeforeAnnouncement: row of the VM that has stopped: got {...}, want none

--- a/io/guavaedge/registry.go
+++ b/io/guavaedge/registry.go
@@ -45,15 +45,22 @@
 	config  atomic.Pointer[guavatraffic.Config]
 	servers atomic.Pointer[map[string]guavatraffic.Server]
 
-	mu     sync.Mutex
-	roster *guavaroster.Roster
-	vms    map[string]guavacoord.VM
+	// writing has one element while this VM's row in tableVMs is written, which is done by one call at a time.
+	writing chan struct{}
+	lost    chan struct{} // receives when the row has to be written again
+
+	mu         sync.Mutex
+	roster     *guavaroster.Roster
+	vms        map[string]guavacoord.VM
+	announced  uint64    // revision of this VM's row, 0 before its first write
+	announceAt time.Time // when it was written
+	leaving    bool      // the row has been removed or is about to be
 }
 
 func newRegistry(self guavacoord.VM, p Platform, l hclog.Logger, onChange, onServerChange func()) *registry {
 	r := &registry{
 		self: self, platform: p, logger: l, onChange: onChange, onServerChange: onServerChange,
-		roster: guavaroster.New(), vms: map[string]guavacoord.VM{self.Name: self},
+		writing: make(chan struct{}, 1), lost: make(chan struct{}, 1), roster: guavaroster.New(), vms: map[string]guavacoord.VM{self.Name: self},
 	}
 	r.servers.Store(&map[string]guavatraffic.Server{})
 	return r
@@ -152,9 +159,13 @@
 	if full {
 		r.vms = map[string]guavacoord.VM{r.self.Name: r.self}
 	}
+	listed, newest := false, uint64(0)
 	for _, c := range changes {
+		newest = max(newest, c.Revision)
 		name := c.Key[strings.LastIndexByte(c.Key, '/')+1:]
 		if name == r.self.Name {
+			listed = !c.Removed
+			r.checkOwnRow(c)
 			continue
 		}
 		if c.Removed {
@@ -170,12 +181,39 @@
 			Name: name, Domain: v.Domain, Region: v.Region, Address: v.Address, Incarnation: v.Incarnation,
 		}}
 	}
+	if full && !listed && r.announced != 0 && (newest > r.announced || time.Since(r.announceAt) > listingDelay) {
+		r.announceAgain()
+	}
 	n := len(r.vms)
 	r.mu.Unlock()
 	r.logger.Info("VMs", "known", n)
 	r.onChange()
 }
 
+// checkOwnRow announces this VM again if a change after its announcement has removed its row, or has replaced it by that
+// of an earlier process: a call of such a process without a response may still be executed seconds later. The caller
+// holds the lock.
+func (r *registry) checkOwnRow(c guavaplatform.RowChange) {
+	if r.announced == 0 || c.Revision <= r.announced {
+		return
+	}
+	var v vmRecord
+	if c.Removed || json.Unmarshal(c.Value, &v) != nil || v.Incarnation < r.self.Incarnation {
+		r.announceAgain()
+	}
+}
+
+// announceAgain makes register write this VM's row again. The caller holds the lock.
+func (r *registry) announceAgain() {
+	if r.leaving {
+		return
+	}
+	select {
+	case r.lost <- struct{}{}:
+	default: // it is about to
+	}
+}
+
 // removeSelf removes this VM from its own list, so that it stops acting as a coordinator.
 func (r *registry) removeSelf() {
 	r.mu.Lock()
@@ -207,11 +245,17 @@
 const (
 	// registerBackoff is the wait before a failed announcement, or its failed removal, is retried.
 	registerBackoff = 200 * time.Millisecond
+	// registerInterval is the minimum time between two announcements. It bounds the writes of two processes that have
+	// been given the same name.
+	registerInterval = time.Second
 	// unregisterTimeout bounds the removal of the announcement with its retries.
 	unregisterTimeout = time.Second
+	// listingDelay is the time after an announcement from which a listing of the table contains it.
+	listingDelay = 5 * time.Second
 )
 
-// register announces this VM in tableVMs, and retries until it succeeds or ctx ends.
+// register announces this VM in tableVMs, with retries, and again whenever its row is lost, until ctx ends or the VM
+// leaves.
 func (r *registry) register(ctx context.Context) {
 	data, err := json.Marshal(vmRecord{
 		Domain: r.self.Domain, Region: r.self.Region, Address: r.self.Address, Incarnation: r.self.Incarnation,
@@ -221,22 +265,61 @@
 		r.logger.Error("VM announcement failed", "error", err)
 		return
 	}
-	for ctx.Err() == nil {
-		err := r.platform.Store.Commit(ctx, nil, []guavaplatform.Write{{Key: r.key(), Value: data}})
-		if err == nil {
+	for {
+		wait, lost := registerBackoff, (<-chan struct{})(nil)
+		switch announced, err := r.announce(ctx, data); {
+		case err != nil:
+			r.logger.Warn("VM announcement failed, retrying", "error", err)
+		case !announced:
+			return
+		default:
 			r.logger.Info("VM announced", "address", r.self.Address)
+			wait, lost = registerInterval, r.lost
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
 			return
 		}
-		r.logger.Warn("VM announcement failed, retrying", "error", err)
+		if lost == nil {
+			continue
+		}
 		select {
-		case <-time.After(registerBackoff):
+		case <-lost:
+			r.logger.Warn("VM announcement lost")
 		case <-ctx.Done():
+			return
 		}
 	}
 }
 
+// announce writes this VM's row, unless the VM is leaving.
+func (r *registry) announce(ctx context.Context, data []byte) (announced bool, err error) {
+	r.writing <- struct{}{}
+	defer func() { <-r.writing }()
+	r.mu.Lock()
+	leaving := r.leaving
+	r.mu.Unlock()
+	if leaving {
+		return false, nil
+	}
+	revision, err := r.platform.Store.CommitAt(ctx, nil, []guavaplatform.Write{{Key: r.key(), Value: data}})
+	if err != nil {
+		return false, err //nolint:wrapcheck // the error names the call
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.announced, r.announceAt = revision, time.Now()
+	return true, nil
+}
+
 // unregister deletes the announcement of this VM.
 func (r *registry) unregister() {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	r.writing <- struct{}{}
+	defer func() { <-r.writing }()
 	ctx, stop := context.WithTimeout(context.Background(), unregisterTimeout)
 	defer stop()
 	for ctx.Err() == nil {
