--- a/io/guavaview/follower.go
+++ b/io/guavaview/follower.go
@@ -121,6 +121,7 @@
 // Run polls the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff, reload := minBackoff, true
+	truncated := 0 // snapshots in a row whose changes were no longer available
 	for ctx.Err() == nil {
 		if f.covered != nil && f.isLoaded() && f.covered() {
 			sleep(ctx, readerCheckInterval)
@@ -129,6 +130,9 @@
 		changed, err := f.poll(ctx, reload)
 		switch {
 		case err == nil:
+			if !reload {
+				truncated = 0
+			}
 			backoff, reload = minBackoff, false
 			f.recordSuccess(time.Now())
 			if changed {
@@ -138,6 +142,10 @@
 		case errors.Is(err, guavaplatform.ErrTruncated):
 			reload = true
 			f.logger.Info("change history truncated, reloading table", "table", f.table)
+			if truncated++; truncated > 1 {
+				// A store that keeps no history would get snapshot after snapshot without a pause.
+				sleep(ctx, maxBackoff)
+			}
 			continue
 		}
 		f.recordFailure(err)
--- a/io/guavaview/follower_test.go
+++ b/io/guavaview/follower_test.go
@@ -216,3 +216,37 @@
 		}
 	})
 }
+
+// truncatingFeed is a table without history. It counts its snapshots.
+type truncatingFeed struct{ snapshots int }
+
+// callDuration is the time that a call of the feed takes.
+const callDuration = 2 * time.Millisecond
+
+// Snapshot implements guavaplatform.Feed.
+func (f *truncatingFeed) Snapshot(context.Context, string, []string) ([]guavaplatform.Row, uint64, error) {
+	time.Sleep(callDuration)
+	f.snapshots++
+	return nil, uint64(f.snapshots), nil //nolint:gosec // small
+}
+
+// Changes implements guavaplatform.Feed.
+func (*truncatingFeed) Changes(context.Context, string, uint64, time.Duration) ([]guavaplatform.RowChange, uint64, error) {
+	time.Sleep(callDuration)
+	return nil, 0, guavaplatform.ErrTruncated
+}
+
+// TestStoreWithoutHistory guards against a follower that reads the table again without a pause while the store keeps no
+// history, and against one that no longer follows it.
+func TestStoreWithoutHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var f truncatingFeed
+		follower := guavaview.New(&f, table, []string{""}, time.Second, func([]guavaplatform.RowChange, bool) {}, hclog.NewNullLogger())
+		ctx, stop := context.WithTimeout(t.Context(), 20*time.Second)
+		defer stop()
+		follower.Run(ctx)
+		if f.snapshots < 20 || f.snapshots > 40 {
+			t.Errorf("got %d snapshots in 20 s, want 20 to 40", f.snapshots)
+		}
+	})
+}
