Handle requests of unknown classes as online requests

The scheduler looked up the estimates of a request's class in a map. A class that a coordinator does not know, as a VM of a later version may send it, gave a nil pointer: the coordinator's process ended, and with the next submission that of its successor. Decisions already treat every class but Batch as Online; the estimates now do too.

TestUnknownClass on the code before: "invalid memory address or nil pointer dereference" in Submit.

--- a/core/guavaplace/dispatch.go
+++ b/core/guavaplace/dispatch.go
@@ -130,12 +130,12 @@
 	s.paths.startProbe(w.Domain, v.Domain)
 	s.decide(Decision{
 		Key: w.Key, Action: Run, Server: v.ID, Address: v.Address, Waited: now.Sub(w.arrivedAt),
-		Expected: s.estimates[w.Class].firstByte(),
+		Expected: s.estimate(w.Class).firstByte(),
 	})
 }
 
 func (s *Scheduler) newRun(startedAt time.Time, w *waitingRequest, v *server) *run {
-	e := s.estimates[w.Class]
+	e := s.estimate(w.Class)
 	duration := e.duration(w.Work)
 	if w.Class == Batch {
 		duration = e.remaining(w.Work)
--- a/core/guavaplace/refuse.go
+++ b/core/guavaplace/refuse.go
@@ -41,7 +41,7 @@
 		if s.byID[r.server.ID] != r.server || r.server.Leaving {
 			continue
 		}
-		minRemaining := time.Duration(overrunShare * float64(s.estimates[r.request.Class].duration(0)))
+		minRemaining := time.Duration(overrunShare * float64(s.estimate(r.request.Class).duration(0)))
 		ends = append(ends, max(r.expectedEnd.Sub(now), minRemaining))
 	}
 	if len(ends) == 0 {
--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -78,7 +78,7 @@
 // Submit adds a request and returns a decision about it. If the decision is Wait, a later call returns the next one.
 func (s *Scheduler) Submit(now time.Time, r Request) []Decision {
 	s.resetDecisions()
-	w := newWaitingRequest(now, r, s.estimates[r.Class])
+	w := newWaitingRequest(now, r, s.estimate(r.Class))
 	if r.Class == Batch {
 		s.batch = insert(s.batch, w, compareBatch)
 		s.dispatch(now)
@@ -121,7 +121,7 @@
 	}
 	if !r.responding {
 		r.responding = true
-		s.estimates[r.request.Class].firstByteSeconds.add(now.Sub(r.startedAt).Seconds())
+		s.estimate(r.request.Class).firstByteSeconds.add(now.Sub(r.startedAt).Seconds())
 	}
 	if l != nil {
 		r.server.foreignLoad, r.server.loadReportedAt = max(l.Running+l.Waiting-len(r.server.runs), 0), now
@@ -138,7 +138,7 @@
 	s.removeRun(r)
 	elapsed := now.Sub(r.startedAt)
 	if p.Outcome == Done && elapsed > 0 {
-		e := s.estimates[r.request.Class]
+		e := s.estimate(r.request.Class)
 		expected := e.duration(r.request.Work)
 		if p.Work > 0 && e.secondsPerToken.known {
 			expected = e.remaining(p.Work)
@@ -171,7 +171,7 @@
 		return
 	}
 	startedAt := now.Add(-a.Age)
-	r := s.newRun(startedAt, newWaitingRequest(now, a.Request, s.estimates[a.Request.Class]), server)
+	r := s.newRun(startedAt, newWaitingRequest(now, a.Request, s.estimate(a.Request.Class)), server)
 	r.responding = true
 	s.runs[r.request.Key] = r
 	server.add(r)
@@ -221,6 +221,15 @@
 	return 0
 }
 
+// estimate returns the estimate of a class. VMs of another version may submit requests of classes that this version does
+// not know; they are handled as online requests.
+func (s *Scheduler) estimate(c Class) *estimate {
+	if e := s.estimates[c]; e != nil {
+		return e
+	}
+	return s.estimates[Online]
+}
+
 func (s *Scheduler) resetDecisions() { s.decisions = nil }
 
 func (s *Scheduler) decide(d Decision) {
--- a/core/guavaplace/scheduler_test.go
+++ b/core/guavaplace/scheduler_test.go
@@ -417,3 +417,21 @@
 	want(t, "after the takeover", s.Tick(epoch), "5 yield", "4 yield", "3 yield")
 	want(t, "online request", s.Submit(at(time.Millisecond), online(7)), "2 yield", "7 run")
 }
+
+// TestUnknownClass guards against a message of a VM of another version that ends the process of the coordinator, and
+// those of the VMs that follow it as coordinator.
+func TestUnknownClass(t *testing.T) {
+	s := newScheduler(1, 1)
+	unknown := online(1)
+	unknown.Class = "unknown"
+	want(t, "submission", s.Submit(epoch, unknown), "1 run")
+	s.Started(epoch, unknown.Key, nil)
+	second := online(2)
+	second.Start = 3 * time.Second
+	want(t, "second submission", s.Submit(epoch, second), "2 wait")
+	want(t, "end of the run", s.Release(epoch.Add(10*time.Millisecond), guavaplace.Report{Key: unknown.Key, Outcome: guavaplace.Done}), "2 run")
+	held := online(3)
+	held.Class = ""
+	s.Restore(epoch, guavaplace.ActiveRun{Request: held, Server: "s0"})
+	want(t, "removal of the VM", s.RemoveVM(epoch, "v"))
+}
