--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -47,7 +47,7 @@
 	// Content is the sum of the fingerprint of an online request, by which a retry of a request that crashes servers is
 	// recognized; 0 if it has none.
 	Content uint64
-	// Avoid lists the servers that earlier attempts of the request were sent to.
+	// Avoid lists the servers that earlier attempts of the request were sent to. A batch item avoids them for avoidTime.
 	Avoid []string
 }
 
@@ -73,6 +73,8 @@
 	// Server and Address are those of the server that runs the request.
 	Server  string
 	Address string
+	// Born is the start time of the server, as in guavatraffic.Server.
+	Born int64
 	// Expected is the expected time from now to the first byte of the response to a request that runs.
 	Expected time.Duration
 	// After is the time after which the caller of a refused request may retry.
--- a/core/guavaplace/scheduler_test.go
+++ b/core/guavaplace/scheduler_test.go
@@ -180,6 +180,39 @@
 	want(t, "next request", s.Submit(at(1200*time.Millisecond), online(6)), "6 run")
 }
 
+// TestProbeEndsWithFirstByte guards against items that wait for the end of a probe's response, which takes many seconds
+// for a stream, although its beginning shows that the server works. The response to a request that was sent before the
+// failure shows nothing.
+func TestProbeEndsWithFirstByte(t *testing.T) {
+	s := newScheduler(1, 8)
+	want(t, "run that outlives the failure", s.Submit(epoch, batch(1, time.Minute)), "1 run")
+	want(t, "run that fails", s.Submit(epoch, batch(2, time.Minute)), "2 run")
+	s.Release(at(time.Millisecond), guavaplace.Report{Key: batch(2, 0).Key, Outcome: guavaplace.ConnectionLost})
+	want(t, "probe", s.Submit(at(time.Second), batch(3, time.Minute)), "3 run")
+	want(t, "item", s.Submit(at(time.Second), batch(4, time.Minute)), "4 wait")
+	s.Started(at(1100*time.Millisecond), batch(1, 0).Key, nil)
+	want(t, "first byte of the older run", s.Tick(at(1100*time.Millisecond)))
+	s.Started(at(1200*time.Millisecond), batch(3, 0).Key, nil)
+	want(t, "first byte of the probe", s.Tick(at(1200*time.Millisecond)), "4 run")
+	want(t, "before the first byte of the next", s.Submit(at(1200*time.Millisecond), batch(5, time.Minute)), "5 wait")
+}
+
+// TestOnlyAvoidedServerLeft guards against a batch item that is never placed because it avoids the only server with a
+// free slot, and against one that is placed there before another server has had time to take it.
+func TestOnlyAvoidedServerLeft(t *testing.T) {
+	s := newScheduler(2, 1)
+	want(t, "other item", s.Submit(epoch, batch(1, 20*time.Second)), "1 run") // on s0, which is in its domain
+	item := batch(2, 20*time.Second)
+	item.Avoid = []string{"s1"}
+	want(t, "item", s.Submit(epoch, item), "2 wait")
+	want(t, "soon after", s.Tick(at(900*time.Millisecond)))
+	got := s.Tick(at(1100 * time.Millisecond))
+	want(t, "later", got, "2 run")
+	if len(got) == 1 && got[0].Server != "s1" {
+		t.Errorf("got server %s, want s1", got[0].Server)
+	}
+}
+
 // TestUnreachableDomain guards against requests that find the servers of an unreachable failure domain one by one, and
 // against a domain that is not used again once it is reachable.
 func TestUnreachableDomain(t *testing.T) {
@@ -417,3 +450,19 @@
 	want(t, "after the takeover", s.Tick(epoch), "5 yield", "4 yield", "3 yield")
 	want(t, "online request", s.Submit(at(time.Millisecond), online(7)), "2 yield", "7 run")
 }
+
+// TestGrantNamesIncarnation guards against grants that do not tell a restarted server from its previous process, so that
+// a VM would apply what the server says in its response to the wrong one, and against grants of a server that said that
+// it is leaving.
+func TestGrantNamesIncarnation(t *testing.T) {
+	s := newScheduler(2, 4)
+	list := servers(2, 4)
+	list[0].Born, list[1].Leaving = 7, true
+	s.SetServers(at(time.Millisecond), list, guavatraffic.Service{Name: "m"})
+	for n := range uint64(4) {
+		d := s.Submit(at(2*time.Millisecond), online(n))
+		if len(d) != 1 || d[0].Action != guavaplace.Run || d[0].Server != "s0" || d[0].Born != 7 {
+			t.Errorf("request %d: got %+v, want a run on s0 started at 7", n, d)
+		}
+	}
+}
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -93,8 +94,11 @@
 	drain     chan struct{}
 	drainOnce sync.Once
 	updateMu  sync.Mutex // serializes updates of the other parts from the registry
-	mu        sync.Mutex
-	owners    []string // VMs that own jobs whose leases this VM monitors
+	// acceptFailures counts the failed accepts of all listeners.
+	acceptFailures atomic.Uint64
+
+	mu     sync.Mutex
+	owners []string // VMs that own jobs whose leases this VM monitors
 }
 
 // New assembles the process.
@@ -124,7 +128,7 @@
 			return c
 		}
 		return &guavatraffic.Config{}
-	}, guavaquota.Tolerance{Overage: s.Overage, Slack: s.Slack}, e.replicator, network.Dial, logger)
+	}, guavaquota.Tolerance{Overage: s.Overage, Slack: s.Slack}, e.registry, e.replicator, network.Dial, logger)
 	e.pool = guavapool.New(network.Dial, dialTimeout, idleTimeout, maxIdleConns, &guavapool.Counters{})
 	e.sender = guavasend.New(e.pool, guavabudget.New(s.Memory*(1<<20)/responseShare))
 	sender := e.sender
@@ -133,7 +137,7 @@
 	e.replicator.fallback = store
 	e.batch = guavajobs.New(guavajobs.Dependencies{
 		Self: self.Identity, Table: store, Objects: store, Admission: localAdmission{e.client, s.Domain}, Sender: sender,
-		Protocol: p.Wire, Codec: p.Codec, Config: config, Stale: e.isStale, Usable: e.registry.usable,
+		Protocol: p.Wire, Codec: p.Codec, Config: config, Stale: e.isStale, Status: e.registry.status,
 		Linked: func(vm string) uint64 {
 			if l := e.client.Mesh().Link(vm); l != nil {
 				return l.Peer.Incarnation
@@ -148,7 +152,7 @@
 	})
 	e.gate = guavagate.New(guavagate.Dependencies{
 		Protocol: p.Wire, Admission: localAdmission{e.client, s.Domain}, Jobs: e.batch, Sender: sender,
-		Config: config, Stale: e.isStale, Usable: e.registry.usable, Metrics: requests, Logger: logger,
+		Config: config, Stale: e.isStale, Status: e.registry.status, Metrics: requests, Logger: logger,
 	}, s.Files-reservedFiles)
 	e.config = guavaview.New(p.Store, p.ConfigTable, []string{""}, guavaview.DefaultWait, e.registry.applyConfig, logger)
 	e.servers = guavaview.New(p.Store, p.ServerTable, []string{""}, guavaview.DefaultWait, e.registry.applyServers, logger)
@@ -183,7 +187,7 @@
 	owners := e.owners
 	e.mu.Unlock()
 	// A configuration can change the slots of servers.
-	e.client.SetServers(e.registry.serverList())
+	e.client.SetServers(e.registry.servers.Load().Servers())
 	e.client.SetVMs(list, services, slices.Concat(owners, e.replicator.setVMs(e.settings.Name, list)))
 	identities := make([]guavamember.Identity, 0, len(list))
 	for _, v := range list {
@@ -196,7 +200,7 @@
 func (e *Edge) updateServers() {
 	e.updateMu.Lock()
 	defer e.updateMu.Unlock()
-	e.client.SetServers(e.registry.serverList())
+	e.client.SetServers(e.registry.servers.Load().Servers())
 }
 
 func (e *Edge) isStale() bool { return e.config.Outage(time.Now()) > staleAfter }
@@ -226,14 +230,17 @@
 	e.logger.Info("start", "vm", e.settings.Name, "domain", e.settings.Domain, "front", e.settings.Front)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var listeners [3]net.Listener
-	for i, a := range [...]string{e.settings.Front, e.settings.Ready, e.settings.Peer} {
-		ln, err := e.network.Listen(a)
+	var listeners [4]net.Listener // the last is nil without an address for metrics
+	for i, a := range [...]string{e.settings.Front, e.settings.Ready, e.settings.Peer, e.settings.Metrics} {
+		if a == "" {
+			continue
+		}
+		ln, err := guavatransport.Listen(ctx, e.network, a, e.logger)
 		if err != nil {
-			return fmt.Errorf("listen: %w", err)
+			return err //nolint:wrapcheck // it names the address
 		}
 		defer ln.Close()
-		listeners[i] = ln
+		listeners[i] = guavalisten.Retry(ln, e.logger, &e.acceptFailures)
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	background := func(run func(ctx context.Context)) {
@@ -253,11 +260,7 @@
 	background(func(ctx context.Context) { e.servePeers(ctx, listeners[2]) })
 	ready := &fasthttp.Server{Handler: e.serveReady, NoDefaultServerHeader: true, NoDefaultDate: true, ReduceMemoryUsage: true}
 	group.Go(func() error { return serveUntil(ctx, ready.Serve, listeners[1]) })
-	if e.settings.Metrics != "" {
-		ln, err := e.network.Listen(e.settings.Metrics)
-		if err != nil {
-			return fmt.Errorf("listen for metrics: %w", err)
-		}
+	if ln := listeners[3]; ln != nil {
 		group.Go(func() error { return e.serveMetrics(ctx, ln) })
 	}
 	front := guavalisten.New(listeners[0], guavalisten.Options{
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -35,15 +36,16 @@
 	message fasthttp.Request
 
 	runCtx         context.Context
-	cancel         context.CancelCauseFunc
+	cancel         context.CancelCauseFunc // nil before begin
 	interrupt      context.CancelCauseFunc // ends the current attempt
+	ended          bool
 	conn           *guavalisten.Connection
 	deadline       time.Time
 	isRetry        bool
 	avoid          []string
 	fingerprintSum uint64
 	executions     int // number of attempts that may have been executed
-	unexecuted     int // number of attempts that were not executed
+	unexecuted     int // number of attempts that were not executed, without those of leaving servers
 	waited         time.Duration
 	server         string
 	replacement    *guavacoord.Reservation // for the next attempt, nil if it has to be acquired
@@ -159,8 +161,12 @@
 	}
 }
 
-// end releases what begin set up.
+// end releases what begin set up. Later calls do nothing.
 func (c *call) end() {
+	if c.cancel == nil || c.ended {
+		return
+	}
+	c.ended = true
 	if c.replacement != nil {
 		c.replacement.Release(guavaplace.Cancelled, 0)
 	}
@@ -170,3 +176,29 @@
 	c.cancel(nil)
 	c.gate.running.Add(-1)
 }
+
+// recoverPanic responds with status 500 if the handler panics. Like net/http, it confines the fault to the connection;
+// fasthttp does not, so that the process would end with all of its requests. The request may have been executed.
+func (c *call) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	c.gate.Counters.Failed.Add(1)
+	c.gate.Logger.Error("panic while serving a request", "id", c.request.ID, "panic", v, "stack", string(debug.Stack()))
+	// Response.Reset would also reset the settings of the HTTP server.
+	response := &c.ctx.Response
+	response.ResetBody()
+	response.ImmediateHeaderFlush = false
+	var names []string
+	for name := range response.Header.All() {
+		names = append(names, string(name))
+	}
+	for _, name := range names {
+		response.Header.Del(name)
+	}
+	c.ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	c.ctx.SetConnectionClose()
+	c.recordOutcome(Failed, causePanic)
+	c.end()
+}
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -11,6 +11,7 @@
 
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavapoison"
+	"guavaridge/core/guavaroster"
 	"guavaridge/core/guavasilence"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavasend"
@@ -73,18 +74,25 @@
 		return false, c.handleSendError(reservation, err)
 	}
 	info := c.gate.Protocol.DecodeResponse(&x.Response.Header)
-	reservation.Started(info.Load)
+	reservation.Started(info.Load, info.Leaving)
 	c.gate.Metrics.FirstByte(time.Since(c.arrived).Seconds())
 	c.gate.Metrics.FirstByteDeviation((time.Since(c.arrived) - c.waited - reservation.Expected).Seconds())
+	retryRefused := c.retryUnexecuted
+	if x.Resent {
+		retryRefused = c.retryPossiblyExecuted // a refusal does not say that the request was not executed when it was sent before
+	}
 	switch {
 	case info.Misdirected:
 		x.Close()
 		reservation.Release(guavaplace.Misdirected, 0)
-		return false, c.retryUnexecuted("misdirected")
+		return false, retryRefused("misdirected")
 	case info.NotExecuted:
 		x.Close()
 		reservation.Release(guavaplace.Shed, 0)
-		return false, c.retryUnexecuted("shed")
+		if info.Leaving && !x.Resent {
+			c.unexecuted-- // not counted: the coordinator no longer grants the server, so each is tried once at most
+		}
+		return false, retryRefused("shed")
 	case c.isStream(x.Response.StatusCode()):
 		return c.relayStream(x, reservation)
 	}
@@ -95,6 +103,11 @@
 func (c *call) nextReservation(patient bool) (*guavacoord.Reservation, error) {
 	reservation := c.replacement
 	c.replacement = nil
+	// A slow caller may have kept a stream from its replacement for some time.
+	if reservation != nil && c.gate.Status(c.service, reservation.Incarnation()) != guavaroster.Usable {
+		reservation.Release(guavaplace.Cancelled, 0)
+		reservation = nil
+	}
 	if reservation == nil {
 		begin := time.Now()
 		var err error
@@ -135,11 +148,15 @@
 		if err != nil {
 			return nil, fmt.Errorf("acquire a reservation on %s: %w", c.service, err)
 		}
-		if g.Usable(c.service, reservation.Server) {
+		status := g.Status(c.service, reservation.Incarnation())
+		if status == guavaroster.Usable {
 			return reservation, nil
 		}
 		reservation.Release(guavaplace.Cancelled, 0)
 		avoid = append(slices.Clip(avoid), reservation.Server)
+		if status == guavaroster.Leaving {
+			continue // not counted: many servers may leave at once, and each is granted to the request once at most
+		}
 		if unusable++; unusable >= maxUnexecuted {
 			return nil, &guavacoord.RefusalError{After: defaultRetryAfter, Reason: "servers unknown here"}
 		}
--- a/io/guavagate/gateway.go
+++ b/io/guavagate/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavaroster"
 	"guavaridge/core/guavatraffic"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavalisten"
@@ -44,8 +45,8 @@
 	Config func() *guavatraffic.Config
 	// Stale reports whether the configuration may be out of date because the store is unavailable.
 	Stale func() bool
-	// Usable reports whether this VM's own server list has the server as one that accepts requests for the service.
-	Usable func(service, server string) bool
+	// Status returns whether a server accepts requests for the service, by this VM's own server list.
+	Status func(service string, server guavatraffic.Incarnation) guavaroster.Status
 	// Metrics record the course of requests.
 	Metrics Metrics
 	Logger  hclog.Logger
@@ -96,6 +97,8 @@
 	closeTimeout = 100 * time.Millisecond
 	// closePollInterval is the interval at which Close checks whether there are such requests.
 	closePollInterval = 5 * time.Millisecond
+	// lastWriteTime is left for writing the responses of such requests, which the HTTP server does after they have ended.
+	lastWriteTime = 20 * time.Millisecond
 )
 
 // Causes of the cancellation of a request.
@@ -189,6 +192,7 @@
 	for end := time.Now().Add(closeTimeout); g.Running() > 0 && time.Now().Before(end); {
 		time.Sleep(closePollInterval)
 	}
+	time.Sleep(lastWriteTime)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range g.listeners {
@@ -198,7 +202,9 @@
 }
 
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
-	c := &call{gate: g, ctx: ctx, request: g.Protocol.DecodeRequest(&ctx.Request.Header), arrived: time.Now()}
+	c := &call{gate: g, ctx: ctx, arrived: time.Now()}
+	defer c.recoverPanic()
+	c.request = g.Protocol.DecodeRequest(&ctx.Request.Header)
 	g.Counters.Requests.Add(1)
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -138,10 +138,21 @@
 // fill reads until there is a complete event or the response ends. A silent server is left only for another one that
 // can go on.
 func (s *stream) fill() error {
-	if s.events == 0 || s.lastEventID >= 0 {
-		watch := s.call.watchSilence(s.phase(), s.call.interrupt)
-		defer watch.stop()
+	first := s.events == 0
+	if !first && s.lastEventID < 0 {
+		return s.readEvents()
 	}
+	watch := s.call.watchSilence(s.phase(), s.call.interrupt)
+	err := s.readEvents()
+	// Events that arrive as the wait ends are dropped if the caller has none yet: the request is sent again from its start.
+	if watch.stop() && !s.done && (first || err != nil) {
+		return errors.Join(errSilent, err)
+	}
+	return err
+}
+
+// readEvents reads until there is a complete event or the response ends.
+func (s *stream) readEvents() error {
 	for len(s.pending) == 0 && !s.done {
 		n, err := s.exchange.Read(s.buffer)
 		s.splitter.Write(s.buffer[:n])
@@ -269,13 +280,16 @@
 		return err
 	}
 	info := c.gate.Protocol.DecodeResponse(&x.Response.Header)
-	reservation.Started(info.Load)
+	reservation.Started(info.Load, info.Leaving)
 	status := x.Response.StatusCode()
 	if status == fasthttp.StatusOK && !info.Misdirected && !info.NotExecuted {
 		s.exchange, s.reservation, s.splitter, s.readErr = x, reservation, guavaevent.Splitter{}, nil
 		return nil
 	}
 	x.Close()
+	if x.Resent {
+		c.executions++ // the refusal says nothing of the first time that the request was sent
+	}
 	switch {
 	case info.Misdirected:
 		reservation.Release(guavaplace.Misdirected, 0)
@@ -283,7 +297,9 @@
 		reservation.Release(guavaplace.Shed, 0)
 	default:
 		reservation.Release(guavaplace.Failed, 0)
-		c.executions++
+		if !x.Resent {
+			c.executions++
+		}
 	}
 	c.avoid = append(c.avoid, c.server)
 	return fmt.Errorf("status %d", status)
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -14,6 +14,7 @@
 	"guavaridge/core/guavaevent"
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavaprogress"
+	"guavaridge/core/guavaroster"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavagate"
 	"guavaridge/io/guavasend"
@@ -62,6 +63,8 @@
 	index  int // of the item in its job
 	item   guavaprogress.Item
 	avoid  []string // the server of the last failed attempt
+	// refusedBy holds the servers that refused the item. Each attempt has the same ID.
+	refusedBy map[string]bool
 
 	mu       sync.Mutex // guards changes of progress, and saved
 	progress *guavaprogress.Progress
@@ -69,16 +72,16 @@
 }
 
 func newItemRun(r *runner, index int, p *guavaprogress.Progress) *itemRun {
-	return &itemRun{runner: r, index: index, item: r.items[index], progress: p, saved: p.Save()}
+	return &itemRun{runner: r, index: index, item: r.items[index], progress: p, saved: p.Save(), refusedBy: map[string]bool{}}
 }
 
 // unsaved returns the progress, and whether it is worth saving: it has at least minEvents new events, or another
-// failure or crash, which limits the attempts of the VM that runs the item next.
+// failure, which limits the attempts of the VM that runs the item next.
 func (r *itemRun) unsaved(minEvents int) (guavaprogress.SavedProgress, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.progress.Save()
-	return s, s.Events >= r.saved.Events+minEvents || s.Failures > r.saved.Failures || s.Crashes > r.saved.Crashes
+	return s, s.Events >= r.saved.Events+minEvents || s.Failures > r.saved.Failures
 }
 
 // markSaved records that the store has this progress.
@@ -101,12 +104,6 @@
 	return r.progress.RecordCrash(events)
 }
 
-func (r *itemRun) backoff() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.progress.Backoff()
-}
-
 func (r *itemRun) addEvent(e guavaevent.Event) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -136,9 +133,9 @@
 			return guavaprogress.Result{ID: r.item.ID, State: guavaprogress.Succeeded, Text: r.progress.Text()}, true
 		case guavaprogress.GiveUp:
 			return r.giveUp(reason), true
-		case guavaprogress.RetryAfterBackoff:
+		case guavaprogress.RetryAfterDelay:
 			r.runner.jobs.Logger.Warn("item retry delayed", "item", r.item.ID, "job", job.ID, "cause", reason)
-			r.wait(ctx, min(r.backoff(), time.Until(expiry)))
+			r.wait(ctx, guavaprogress.RetryDelay)
 		}
 	}
 	return guavaprogress.Result{}, false
@@ -187,10 +184,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("acquire a reservation for the item: %w", err)
 	}
-	if !l.Usable(service, reservation.Server) {
+	if s := l.Status(service, reservation.Incarnation()); s != guavaroster.Usable {
 		reservation.Release(guavaplace.Cancelled, 0)
 		r.avoid = []string{reservation.Server}
-		return nil, errors.New("the reserved server is not in this VM's server list")
+		return nil, fmt.Errorf("the reserved server is %s in this VM's server list", s)
 	}
 	return reservation, nil
 }
@@ -218,7 +215,7 @@
 		return r.handleFailure(attempt, reservation, err, before)
 	}
 	response := l.Protocol.DecodeResponse(&x.Response.Header)
-	reservation.Started(response.Load)
+	reservation.Started(response.Load, response.Leaving)
 	status := x.Response.StatusCode()
 	if status == fasthttp.StatusOK {
 		err := r.receive(x)
@@ -251,7 +248,7 @@
 	})
 	return l.Sender.Send(ctx, guavasend.Request{ //nolint:wrapcheck // handleFailure inspects it
 		Address: reservation.Address, ID: r.item.ID, IDHeader: l.Protocol.IDHeader(), Message: q, MaxIdle: maxIdle,
-		HeaderTimeout: serverTimeout, Repeatable: true,
+		HeaderTimeout: serverTimeout, Repeatable: true, NewConnection: r.refusedBy[reservation.Server],
 	})
 }
 
@@ -327,7 +324,7 @@
 	r.avoid = []string{reservation.Server}
 	l.Counters.Resumed.Add(1)
 	r.logEnd(r.runner.job, reservation, "broken", err.Error())
-	return r.recordCrash(r.progress.Events() - before), "crashes servers"
+	return r.recordCrash(r.progress.Events() - before), "servers broke off"
 }
 
 // handleRejection releases the reservation of an attempt that got an error response, and returns what to do next.
@@ -336,6 +333,7 @@
 ) (guavaprogress.Action, string) {
 	r.avoid = []string{reservation.Server}
 	r.logEnd(j, reservation, "rejected", fmt.Sprintf("status %d", status))
+	r.refusedBy[reservation.Server] = response.Misdirected || response.NotExecuted || r.refusedBy[reservation.Server]
 	switch {
 	case response.Misdirected:
 		reservation.Release(guavaplace.Misdirected, 0)
