Handle signals from the start of the process

A SIGHUP that reached a VM's process while it read its settings ended it, since signals were handled only once everything was assembled. They now wait in their channel from the first step.

--- a/cmd/guavaedge/main.go
+++ b/cmd/guavaedge/main.go
@@ -86,6 +86,11 @@
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
+	// Signals that arrive during the start wait in the channel. By default, SIGHUP would end the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Without this, the first log line after the reader of the log has ended would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	s, err := guavaedge.Load(c.String("config"))
 	if err != nil {
 		return err //nolint:wrapcheck // it names the file
@@ -103,10 +108,6 @@
 	if err := edge.CountDropped(lines.Dropped); err != nil {
 		return fmt.Errorf("register metrics of the log: %w", err)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	// Without this, the first log line after the reader of the log has ended would end the process.
-	signal.Ignore(syscall.SIGPIPE)
 	go func() {
 		for got := range signals {
 			if got != syscall.SIGHUP {
--- a/cmd/guavaedge/main_test.go
+++ b/cmd/guavaedge/main_test.go
@@ -14,8 +14,8 @@
 )
 
 // startServe starts the program with ports that the system chooses, and returns the process, a channel for the error with
-// which it ends and the read end of its output.
-func startServe(t *testing.T) (*exec.Cmd, <-chan error, *os.File) {
+// which it ends and the read end of its output. writeSettings writes its settings file, before or after the start.
+func startServe(t *testing.T, writeSettings func(file string, data []byte)) (*exec.Cmd, <-chan error, *os.File) {
 	t.Helper()
 	dir := t.TempDir()
 	program, settings := filepath.Join(dir, "guavaedge"), filepath.Join(dir, "settings.json")
@@ -30,9 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(settings, data, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	writeSettings(settings, data)
 	read, write, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
@@ -54,7 +52,11 @@
 
 // TestLogReaderEnds guards against a process that ends, and loses all of its requests, when the reader of its log does.
 func TestLogReaderEnds(t *testing.T) {
-	c, ended, log := startServe(t)
+	c, ended, log := startServe(t, func(file string, data []byte) {
+		if err := os.WriteFile(file, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	})
 	line := make([]byte, 4<<10)
 	if n, err := log.Read(line); err != nil || !strings.Contains(string(line[:n]), `"start"`) {
 		t.Fatalf("first log line: got %q, error %v, want the start", line[:n], err)
@@ -77,3 +79,35 @@
 		t.Error("the process did not end after SIGTERM")
 	}
 }
+
+// TestHangupDuringStart guards against a process that SIGHUP ends while it reads its settings.
+func TestHangupDuringStart(t *testing.T) {
+	var pipe string
+	var settings []byte
+	c, ended, log := startServe(t, func(file string, data []byte) {
+		pipe, settings = file, data
+		if err := syscall.Mkfifo(file, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	})
+	w, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns when the process reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("the process ended after SIGHUP: %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+	if _, err := w.Write(settings); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	line := make([]byte, 4<<10)
+	if n, err := log.Read(line); err != nil || !strings.Contains(string(line[:n]), `"start"`) {
+		t.Errorf("first log line: got %q, error %v, want the start", line[:n], err)
+	}
+}
