Use one timer for the watch of a silence

Only one of the two limits is set at a time. go test ./platform -run 'Silen|Stop|Series|Move|Slots|Close' passes, those of silences with -race too.

--- a/core/guavasilence/silence.go
+++ b/core/guavasilence/silence.go
@@ -40,7 +40,7 @@
 	NextEvent Phase = "next event"
 )
 
-// Limits bound a silence. The deadline of the request bounds it in any case.
+// Limits bound a silence. At most one of them is set; the deadline of the request bounds the silence in any case.
 type Limits struct {
 	// Replace is the silence after which another server is sought while the wait goes on, 0 if the request must not be
 	// sent to another one.
--- a/io/guavagate/silence.go
+++ b/io/guavagate/silence.go
@@ -20,19 +20,19 @@
 	maxSeekPause = 250 * time.Millisecond
 )
 
-// silenceWatch bounds the wait for a server. While it seeks another one, the wait goes on; the two exclude each other
-// only from the moment at which there is a reservation on another server.
+// silenceWatch bounds the wait for a server. While it seeks another one, the wait goes on; only a reservation on another
+// server ends it.
 type silenceWatch struct {
 	call  *call
 	phase guavasilence.Phase
 	// interrupt ends the wait with an error.
 	interrupt context.CancelCauseFunc
 
-	timers []*time.Timer
-	mu     sync.Mutex
-	// stopped and interrupted exclude each other.
+	timer *time.Timer // nil if the wait is bounded by the request's deadline only
+
+	mu          sync.Mutex
 	stopped     bool
-	interrupted bool
+	interrupted bool               // before it was stopped
 	cancel      context.CancelFunc // of the search, nil if there is none
 	done        chan struct{}      // closed at the end of the search
 	replacement *guavacoord.Reservation
@@ -41,12 +41,11 @@
 // watchSilence watches the wait for the current server until stop.
 func (c *call) watchSilence(p guavasilence.Phase, interrupt context.CancelCauseFunc) *silenceWatch {
 	w := &silenceWatch{call: c, phase: p, interrupt: interrupt}
-	limits := guavasilence.LimitsOf(c.route, p, c.executions+1)
-	if limits.Replace > 0 {
-		w.timers = append(w.timers, time.AfterFunc(limits.Replace, w.seek))
-	}
-	if limits.Fail > 0 {
-		w.timers = append(w.timers, time.AfterFunc(limits.Fail, func() { w.end(nil) }))
+	switch limits := guavasilence.LimitsOf(c.route, p, c.executions+1); {
+	case limits.Replace > 0:
+		w.timer = time.AfterFunc(limits.Replace, w.seek)
+	case limits.Fail > 0:
+		w.timer = time.AfterFunc(limits.Fail, func() { w.end(nil) })
 	}
 	return w
 }
@@ -95,8 +94,8 @@
 // stop ends the watch. It reports whether the wait was interrupted, and stores the reservation on another server, if
 // there is one, for the next attempt of the call.
 func (w *silenceWatch) stop() (interrupted bool) {
-	for _, t := range w.timers {
-		t.Stop()
+	if w.timer != nil {
+		w.timer.Stop()
 	}
 	w.mu.Lock()
 	w.stopped = true
