Log lost runs with the prompt parts that they share

The coordinator now logs 'run lost' with both; requests carry the identifiers of their shared parts to it. No decision changes.

--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -44,9 +44,12 @@
 	Made float64
 	// Affinity is a hash of the prompt prefix that the request shares with others, 0 for none.
 	Affinity uint64
-	// Content is the sum of the fingerprint of an online request, by which a retry of a request that crashes servers is
+	// Content is the sum of the fingerprint of the request, by which a retry of a request that crashes servers is
 	// recognized; 0 if it has none.
 	Content uint64
+	// Parts identify the prompt parts that the request shares with others, in order, as guavapoison.PartTraits returns
+	// them.
+	Parts []uint64
 	// Avoid lists the servers that earlier attempts of the request were sent to. A batch item avoids them for avoidTime.
 	Avoid []string
 }
--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -179,6 +179,15 @@
 	return s.decisions
 }
 
+// Running returns the server and the request of a run, and whether there is one.
+func (s *Scheduler) Running(k Key) (server string, q Request, ok bool) {
+	r := s.runs[k]
+	if r == nil {
+		return "", Request{}, false
+	}
+	return r.server.ID, r.request, true
+}
+
 // Withdraw removes a waiting request, or ends its run without recording an outcome for the server.
 func (s *Scheduler) Withdraw(now time.Time, k Key) []Decision {
 	if _, ok := s.runs[k]; ok {
--- a/core/guavaprogress/job.go
+++ b/core/guavaprogress/job.go
@@ -83,6 +83,8 @@
 	Hint int
 	// Affinity is a hash of the prompt prefix shared with other items; 0 for none.
 	Affinity uint64
+	// Parts are the IDs of the prompt parts shared with other items, in order.
+	Parts []string
 }
 
 // State is the final state of an item.
--- a/io/guavacoord/client.go
+++ b/io/guavacoord/client.go
@@ -117,7 +117,7 @@
 		tokenCaches: map[string]*tokenCache{}, tokenRequests: map[uint64]chan given{}, bans: bans{},
 	}
 	c.startupDone = make(chan struct{})
-	c.local = newCoordinator(self.Name, config, t, n, c.deliver, func(list []guavaplace.Ban) { c.addBans(nil, list) })
+	c.local = newCoordinator(self.Name, config, t, n, c.deliver, func(list []guavaplace.Ban) { c.addBans(nil, list) }, l)
 	c.mesh = guavamesh.New(self.Identity, dial, c, l)
 	return c
 }
--- a/io/guavacoord/coordinator.go
+++ b/io/guavacoord/coordinator.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +29,7 @@
 	broadcastBans func(list []guavaplace.Ban) // sends them to all VMs
 	notices       Notices
 	config        func() *guavatraffic.Config
+	logger        hclog.Logger
 
 	mu           sync.Mutex
 	services     map[string]*service              // by name of the shard
@@ -47,10 +50,10 @@
 
 func newCoordinator(
 	self string, config func() *guavatraffic.Config, t guavaquota.Tolerance, n Notices, d deliverFunc,
-	ban func(list []guavaplace.Ban),
+	ban func(list []guavaplace.Ban), l hclog.Logger,
 ) *coordinator {
 	c := &coordinator{
-		self: self, deliver: d, broadcastBans: ban, config: config, notices: n,
+		self: self, deliver: d, broadcastBans: ban, config: config, notices: n, logger: l,
 		services: map[string]*service{}, servers: map[string][]guavatraffic.Server{},
 	}
 	for g := range c.allocators {
@@ -207,6 +210,7 @@
 	case release:
 		c.notices.RecordNotices(m.Notices)
 		c.withScheduler(m.Service, func(s *guavaplace.Scheduler) []guavaplace.Decision {
+			c.logLost(s, m)
 			if m.Continues {
 				return s.Silent(time.Now(), m.Report.Key)
 			}
@@ -240,6 +244,26 @@
 	}
 }
 
+// logLost logs a run that got no complete response because its server broke off or is silent, with what the request
+// shares with others that crash servers. There is a line for each of the requests on a server that crashes.
+func (c *coordinator) logLost(s *guavaplace.Scheduler, m release) {
+	switch m.Report.Outcome {
+	case guavaplace.ConnectionLost, guavaplace.TimedOut:
+	default:
+		return
+	}
+	server, q, ok := s.Running(m.Report.Key)
+	if !ok {
+		return
+	}
+	parts := make([]string, 0, len(q.Parts))
+	for _, p := range q.Parts {
+		parts = append(parts, strconv.FormatUint(p, 16))
+	}
+	c.logger.Info("run lost", "service", m.Service, "server", server, "peer", q.Key.VM, "class", q.Class,
+		"outcome", m.Report.Outcome, "content", strconv.FormatUint(q.Content, 16), "parts", strings.Join(parts, ","))
+}
+
 // removeVM drops the waiting and running requests of a VM and its use of the groups of client accounts.
 func (c *coordinator) removeVM(vm string) {
 	c.removeRequests(vm)
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -129,7 +129,7 @@
 	r := guavaplace.Request{
 		Class: guavaplace.Online, Priority: c.config.Priority(c.route, c.account), Returning: patient,
 		Tokens: c.request.Tokens, Work: float64(c.request.Output), Affinity: c.request.Affinity,
-		Content: c.fingerprintSum,
+		Content: c.fingerprintSum, Parts: guavapoison.PartTraits(c.request.Parts),
 	}
 	if c.request.Hint > 0 {
 		r.Work = float64(c.request.Hint)
--- a/io/guavagate/protocol.go
+++ b/io/guavagate/protocol.go
@@ -43,6 +43,8 @@
 	Hint int
 	// Affinity is a hash of the prompt prefix that the request shares with others, 0 for none.
 	Affinity uint64
+	// Parts are the IDs of the prompt parts that the request shares with others, in order.
+	Parts []string
 	// LastEventID is the ID of the last event of the stream that the caller has received, -1 for none.
 	LastEventID int
 	// Job, Item and After belong to operations on jobs. Wait bounds the wait for results.
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -13,6 +13,7 @@
 
 	"guavaridge/core/guavaevent"
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavapoison"
 	"guavaridge/core/guavaprogress"
 	"guavaridge/core/guavaroster"
 	"guavaridge/io/guavacoord"
@@ -180,6 +181,7 @@
 		Class: guavaplace.Batch, Priority: j.Priority, Due: time.Until(time.UnixMilli(j.Deadline)) - completionMargin,
 		Tokens: r.item.Tokens, Work: r.remainingWork(r.stride(service)),
 		Made: float64(r.progress.Events() * max(r.stride(service), 1)), Affinity: r.item.Affinity, Avoid: r.avoid,
+		Parts: guavapoison.PartTraits(r.item.Parts),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("acquire a reservation for the item: %w", err)
