Ban what requests share that crash servers, not only equal requests

What callers saw: requests that share one part of their prompts crashed one server after another, and with them the streams of other callers; at larger shares hardly any sound request was served.

Cause: what crashes servers was identified by the whole request. Requests that are all new never reached the limit of three crashes, whatever they shared. The coordinator also lost its counts with its process, and a lost connection counted for 10 s on one VM only.

Change: guavapoison.CrashTracker, one per VM, counts lost runs for the content and for each shared part of the prompt, from the moment at which the connection breaks. A run exonerates the parts of its prompt only once its server has got beyond the begin of its answer, since the header of a 200 arrives before the crash. If several parts fit equally, the ban covers requests with all of them, and answers narrow it. Bans go to all VMs and into a table of the store; a lapsed one is tried with one request at a time, three at most, longer apart each time. Waiting requests and items are refused too. The cases of TestCrashCounter stay.

--- a/core/guavaplace/crash.go
+++ b/core/guavaplace/crash.go
@@ -1,49 +1,60 @@
 package guavaplace
 
-import "time"
+import (
+	"fmt"
+	"time"
 
-// recordCrash updates the crash counts of an online request's content with the outcome of its run. Jobs handle batch
-// items that crash servers themselves.
-func (s *Scheduler) recordCrash(now time.Time, r *run, o Outcome) {
-	switch o {
-	case ConnectionLost, TimedOut:
+	"guavaridge/core/guavapoison"
+)
+
+// recordCrash passes the outcome of a run to the tracker of crashes. begun reports that the server got beyond the begin of
+// its answer.
+func (s *Scheduler) recordCrash(now time.Time, r *run, o Outcome, begun bool) {
+	x := guavapoison.Run{
+		Server: r.server.ID, Began: r.startedAt, Content: r.request.Content, Parts: r.request.Parts,
+		Item: r.request.Class == Batch,
+	}
+	switch {
+	case begun:
+		s.crashes.RecordAnswered(now, x)
+	case o == Done, o == Failed:
+		// The request does not crash servers. Whether a part of its prompt does is open, since the server may have rejected
+		// the request before it used them.
+		s.crashes.RecordUndecided(now, x, true)
+		x.Parts = nil
+		s.crashes.RecordAnswered(now, x)
+	case o == ConnectionLost, o == TimedOut:
 		if r.server.Leaving {
 			return // a leaving server interrupts its remaining runs without crashing
 		}
-		s.crashes.RecordBroken(now, r.request.Content, r.server.ID, r.startedAt, o == TimedOut)
-	case Done, Failed:
-		s.crashes.RecordAnswered(r.request.Content)
-	case Unreachable, Misdirected, Shed, Cancelled: // not executed, or ended by its caller
+		x.ID = fmt.Sprintf("%s/%d", r.request.Key.VM, r.request.Key.Number)
+		s.crashes.RecordLost(now, x, o == TimedOut)
+	case o == Unreachable, o == Misdirected, o == Shed:
+		s.crashes.RecordUndecided(now, x, false)
+	case o == Cancelled:
+		s.crashes.RecordUndecided(now, x, true)
 	}
 }
 
 // refuseCrashing refuses a request that crashes servers or is suspected of it, and reports whether it did.
 func (s *Scheduler) refuseCrashing(now time.Time, w *waitingRequest) bool {
-	remaining, crashes := s.crashes.RefusedFor(now, w.Content)
-	if remaining == 0 {
+	v, remaining := s.crashes.Check(now, w.Content, w.Parts)
+	if v != guavapoison.Refuse {
 		return false
 	}
-	reason := "servers broke off"
-	if crashes {
-		reason = CrashReason
-	}
-	s.decide(Decision{Key: w.Key, Action: Refuse, After: remaining, Reason: reason, Waited: now.Sub(w.arrivedAt)})
+	s.decide(Decision{Key: w.Key, Action: Refuse, After: remaining, Reason: CrashReason, Waited: now.Sub(w.arrivedAt)})
 	return true
 }
 
-// Ban is the remaining time for which requests with the same content are refused because they crash servers.
-type Ban struct {
-	Content uint64
-	Left    time.Duration
-}
-
-// PendingBans returns the bans recorded since the last call, to be forwarded to other schedulers.
-func (s *Scheduler) PendingBans(now time.Time) []Ban {
-	list := make([]Ban, 0, len(s.pendingBans))
-	for _, content := range s.pendingBans {
-		remaining, _ := s.crashes.RefusedFor(now, content)
-		list = append(list, Ban{Content: content, Left: remaining})
+// try decides about a request whose ban has lapsed: it runs at once, or is refused. It reports whether it did so.
+func (s *Scheduler) try(now time.Time, w *waitingRequest) bool {
+	if v, _ := s.crashes.Check(now, w.Content, w.Parts); v != guavapoison.Try {
+		return false
 	}
-	s.pendingBans = nil
-	return list
+	if !s.scheduleFree(now, w) {
+		s.refuse(now, w, "overload")
+		return true
+	}
+	s.crashes.BeginTrial(now, w.Content, w.Parts)
+	return true
 }
--- a/core/guavaplace/crash_test.go
+++ b/core/guavaplace/crash_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavapoison"
 	"guavaridge/core/guavatraffic"
 )
 
@@ -24,8 +25,10 @@
 		{"requests without content name", false, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := newScheduler(1, 1)
+			crashes := guavapoison.NewCrashTracker()
+			s := guavaplace.New(crashes)
 			list := servers(1, 1)
+			s.SetServers(epoch, list, service)
 			request := func(n uint64) guavaplace.Request {
 				r := online(n)
 				r.Content, r.Start, r.Patience = c.content, 3*time.Second, 3*time.Second
@@ -56,11 +59,12 @@
 				want(t, "after three runs", got, "10 run")
 				return
 			}
-			if list := s.PendingBans(now); len(list) != 1 || list[0].Content != content || list[0].Left < 50*time.Minute {
-				t.Errorf("pending bans to pass on: got %+v, want one of content 7 for at least 50 minutes", list)
+			bans := crashes.TakeChanges()
+			if n := len(bans); n == 0 || bans[n-1].ID() != content || bans[n-1].Until.Sub(now) < 50*time.Minute {
+				t.Errorf("bans to pass on: got %+v, want one of content 7 for at least 50 minutes", bans)
 			}
-			if list := s.PendingBans(now); len(list) > 0 {
-				t.Errorf("pending bans, again: got %+v, want none", list)
+			if list := crashes.TakeChanges(); len(list) > 0 {
+				t.Errorf("bans to pass on, again: got %+v, want none", list)
 			}
 			got = s.Submit(now, request(11))
 			want(t, "the same request again", got, "11 refuse")
--- a/core/guavaplace/dispatch.go
+++ b/core/guavaplace/dispatch.go
@@ -81,13 +81,14 @@
 	}
 }
 
-// expire refuses requests found to crash servers and late requests that have reached their maximum wait. It moves
+// expire refuses requests found to crash servers, and late requests that have reached their maximum wait. It moves
 // online requests that can no longer start in time to the late ones. Batch items that have waited for avoidTime may run
 // on any server.
 func (s *Scheduler) expire(now time.Time) {
-	if !s.crashes.IsEmpty() {
+	if s.crashes.HasBans() {
 		refused := func(w *waitingRequest) bool { return s.refuseCrashing(now, w) }
 		s.online, s.late = slices.DeleteFunc(s.online, refused), slices.DeleteFunc(s.late, refused)
+		s.batch = slices.DeleteFunc(s.batch, refused)
 	}
 	s.online = slices.DeleteFunc(s.online, func(w *waitingRequest) bool {
 		if now.Before(w.startBy) {
--- a/core/guavaplace/policy_test.go
+++ b/core/guavaplace/policy_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavapoison"
 	"guavaridge/core/guavatraffic"
 )
 
@@ -24,7 +25,7 @@
 	make func(list []guavatraffic.Server, service guavatraffic.Service) policy
 }{
 	{"scheduler", func(list []guavatraffic.Server, service guavatraffic.Service) policy {
-		s := guavaplace.New()
+		s := guavaplace.New(guavapoison.NewCrashTracker())
 		s.SetServers(epoch, list, service)
 		return s
 	}},
--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -127,6 +127,9 @@
 	Outcome Outcome
 	// Work is the number of output tokens that the run generated.
 	Work float64
+	// Begun reports that the server got beyond the begin of its answer: what the request shares with others does not crash
+	// the servers that run it.
+	Begun bool
 }
 
 // ActiveRun is a run for which a VM uses a slot, possibly granted by another scheduler.
--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -26,9 +26,8 @@
 	batch     []*waitingRequest // by compareBatch
 	estimates map[Class]*estimate
 	paths     paths
-	crashes   *guavapoison.CrashCounter
-	// pendingBans lists the contents found to crash servers since the last call of PendingBans.
-	pendingBans []uint64
+	crashes   *guavapoison.CrashTracker
+
 	nextRetry   time.Time // the time after which the next refused caller may retry
 	retrySpread float64   // position of the last retry time between minRetryAfter and maxRetryAfter, 0 to 1
 
@@ -39,10 +38,11 @@
 	decisions []Decision
 }
 
-// New returns a scheduler without servers.
-func New() *Scheduler {
+// New returns a scheduler without servers. It records crashes of servers in the tracker, which other schedulers may share,
+// and refuses the requests that the tracker bans.
+func New(t *guavapoison.CrashTracker) *Scheduler {
 	return &Scheduler{
-		byID: map[string]*server{}, runs: map[Key]*run{}, paths: newPaths(), crashes: guavapoison.NewCrashCounter(),
+		byID: map[string]*server{}, runs: map[Key]*run{}, paths: newPaths(), crashes: t,
 		estimates: map[Class]*estimate{Online: {}, Batch: {}},
 	}
 }
@@ -66,7 +66,7 @@
 	}
 	for id, old := range s.byID {
 		if byID[id] != old && !old.Leaving {
-			s.pendingBans = append(s.pendingBans, s.crashes.ServerEnded(now, id)...)
+			s.crashes.ServerEnded(now, id)
 		}
 	}
 	slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
@@ -79,6 +79,9 @@
 func (s *Scheduler) Submit(now time.Time, r Request) []Decision {
 	s.resetDecisions()
 	w := newWaitingRequest(now, r, s.estimate(r.Class))
+	if s.refuseCrashing(now, w) || s.try(now, w) {
+		return s.decisions
+	}
 	if r.Class == Batch {
 		s.batch = insert(s.batch, w, compareBatch)
 		s.dispatch(now)
@@ -94,9 +97,6 @@
 // admit decides about a new online request.
 func (s *Scheduler) admit(now time.Time, w *waitingRequest) {
 	s.recordArrival(now)
-	if s.refuseCrashing(now, w) {
-		return
-	}
 	ahead := s.ahead(w)
 	if ahead == 0 && s.schedule(now, w) {
 		return
@@ -146,7 +146,7 @@
 		p.probing = false // the next probe need not wait for the end of this run
 	}
 	limitFailing(s.servers)
-	s.recordCrash(now, r, TimedOut)
+	s.recordCrash(now, r, TimedOut, false)
 	s.dispatch(now)
 	return s.decisions
 }
@@ -173,7 +173,7 @@
 		r.server.recordOutcome(now, r, p.Outcome)
 		limitFailing(s.servers)
 		s.paths.recordOutcome(now, r.request.Domain, r.server, p.Outcome)
-		s.recordCrash(now, r, p.Outcome)
+		s.recordCrash(now, r, p.Outcome, p.Begun)
 	}
 	s.dispatch(now)
 	return s.decisions
--- a/core/guavaplace/scheduler_test.go
+++ b/core/guavaplace/scheduler_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavapoison"
 	"guavaridge/core/guavatraffic"
 )
 
@@ -29,7 +30,7 @@
 }
 
 func newScheduler(n, slots int) *guavaplace.Scheduler {
-	s := guavaplace.New()
+	s := guavaplace.New(guavapoison.NewCrashTracker())
 	s.SetServers(epoch, servers(n, slots), guavatraffic.Service{Name: "m"})
 	return s
 }
@@ -253,7 +254,7 @@
 
 // TestWithdrawnProbe guards against a path that stays suspended because the request that probed it was withdrawn.
 func TestWithdrawnProbe(t *testing.T) {
-	s := guavaplace.New()
+	s := guavaplace.New(guavapoison.NewCrashTracker())
 	list := servers(4, 1)
 	list = []guavatraffic.Server{list[1], list[3]} // both in domain b
 	s.SetServers(epoch, list, guavatraffic.Service{})
@@ -392,7 +393,7 @@
 // TestSmallRequestPassesLargeOne guards against requests that are skipped because one that needs more memory did not
 // fit.
 func TestSmallRequestPassesLargeOne(t *testing.T) {
-	s := guavaplace.New()
+	s := guavaplace.New(guavapoison.NewCrashTracker())
 	s.SetServers(epoch, servers(1, 3), guavatraffic.Service{Name: "m", Memory: 1000})
 	first, large, small := online(1), online(2), online(3)
 	first.Tokens, large.Tokens, small.Tokens = 500, 900, 300
--- /dev/null
+++ b/core/guavapoison/crash_tracker.go
@@ -0,0 +1,328 @@
+package guavapoison
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// crashLimit is the number of consecutive lost runs after which what they share is banned. The platform allows 3 for
+	// equal requests and 5 for a prompt part, with 3 s to apply it.
+	crashLimit = 3
+	// soundCrashLimit is the limit for a part of requests that were answered before: when many servers fail, requests with
+	// a common part lose several runs in a row.
+	soundCrashLimit = 6
+	// maxLosses is the maximum number of lost runs stored for one trait.
+	maxLosses = 8
+	// confirmWindow is the time after a lost run within which the termination of its server confirms a crash. Within some
+	// seconds, a crashed server has restarted, or is missing from the server list after 3 reports.
+	confirmWindow = 10 * time.Second
+	// maxSuspects is the maximum number of traits with lost runs, each of up to 1 KB. Those with the fewest are evicted.
+	maxSuspects = 2000
+	// maxSoundParts is the number of parts remembered as sound, of about 50 bytes each.
+	maxSoundParts = 8192
+)
+
+// Run identifies a run and what its request shares with others.
+type Run struct {
+	// ID is unique among the runs of a server.
+	ID     string
+	Server string
+	Began  time.Time
+	// Content identifies the request, 0 if unknown. Parts identify the parts of its prompt that it shares with others.
+	Content uint64
+	Parts   []uint64
+	// Item is true for batch items. They are not banned by their content, since their job limits their runs.
+	Item bool
+}
+
+// traits returns what other requests may share: the content, and the parts of the prompt.
+func (r *Run) traits() []uint64 { return traitsOf(r.Content, r.Parts) }
+
+// traitsOf returns the traits of a request, which are never 0.
+func traitsOf(content uint64, parts []uint64) []uint64 {
+	traits := make([]uint64, 0, 1+len(parts))
+	for _, t := range append([]uint64{content}, parts...) {
+		if t != 0 && !slices.Contains(traits, t) {
+			traits = append(traits, t)
+		}
+	}
+	return traits
+}
+
+// loss is a run that ended without a response.
+type loss struct {
+	Run
+	at      time.Time
+	silent  bool // the connection stayed open, but no byte was received
+	crashed bool // its server is known to have terminated
+}
+
+// counts reports whether the loss counts as a crash. A silent server may be sound.
+func (l *loss) counts() bool { return l.crashed || !l.silent }
+
+// suspect holds the lost runs of requests with a trait since the last one that was answered: not overlapping, the oldest
+// first. Of overlapping runs only one counts: when servers fail together, harmless requests may be in flight at several
+// of them.
+type suspect struct{ losses []*loss }
+
+// crashes returns the number of losses that count.
+func (s *suspect) crashes() int {
+	n := 0
+	for _, l := range s.losses {
+		if l.counts() {
+			n++
+		}
+	}
+	return n
+}
+
+// requests returns the number of different requests among the losses.
+func (s *suspect) requests() int {
+	contents := map[uint64]bool{}
+	for _, l := range s.losses {
+		contents[l.Content] = true
+	}
+	return len(contents)
+}
+
+// CrashTracker finds what requests share that crash the servers which run them: the whole request, when it is repeated, or
+// parts of the prompt of requests that are otherwise different. It bans what it finds. A lost run counts from the moment at
+// which its connection breaks, and for longer once its server is known to have terminated. An answer to a request with a
+// part shows that the part crashes no server.
+//
+// When several parts fit the lost runs equally, the ban covers requests with all of them, so that sound requests with some
+// of them are served; their answers narrow the ban.
+//
+// Decisions depend only on the calls and the times passed to them. A CrashTracker may be used concurrently.
+type CrashTracker struct {
+	mu       sync.Mutex
+	suspects map[uint64]*suspect
+	sound    generations
+	bans     map[uint64]*ban   // by Ban.ID
+	byTrait  map[uint64][]*ban // by the first trait
+	changes  []Ban             // since the last call of TakeChanges
+}
+
+// NewCrashTracker returns a tracker without suspects.
+func NewCrashTracker() *CrashTracker {
+	return &CrashTracker{suspects: map[uint64]*suspect{}, bans: map[uint64]*ban{}, byTrait: map[uint64][]*ban{}}
+}
+
+// RecordLost records that a run ended before its server had got beyond the begin of an answer: its connection was closed,
+// or, if silent is true, stayed open without a byte received.
+func (t *CrashTracker) RecordLost(now time.Time, r Run, silent bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	traits := r.traits()
+	if len(t.bans) > 0 && t.isBanned(traits) {
+		return // it began before the ban was known here, or is a trial that failed
+	}
+	l := t.known(&r, traits)
+	if l == nil {
+		l = &loss{Run: r, at: now, silent: silent}
+		for _, trait := range traits {
+			t.suspect(now, trait).add(l)
+		}
+	} else if !silent {
+		l.silent = false
+	}
+	t.judge(now, l)
+}
+
+// known returns the loss that was recorded of a run, when its server was silent before it broke off.
+func (t *CrashTracker) known(r *Run, traits []uint64) *loss {
+	for _, trait := range traits {
+		if s := t.suspects[trait]; s != nil {
+			for _, l := range s.losses {
+				if l.ID == r.ID && l.Server == r.Server {
+					return l
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// add adds a loss unless it overlaps with an earlier one.
+func (s *suspect) add(l *loss) {
+	if n := len(s.losses); n > 0 && l.at.Sub(s.losses[n-1].at) > suspectTTL {
+		s.losses = nil
+	}
+	if n := len(s.losses); n > 0 && l.Began.Before(s.losses[n-1].at) {
+		return
+	}
+	if len(s.losses) == maxLosses {
+		s.losses = slices.Delete(s.losses, 0, 1)
+	}
+	s.losses = append(s.losses, l)
+}
+
+// judge bans what a loss shares with others, if enough runs were lost.
+func (t *CrashTracker) judge(now time.Time, l *loss) {
+	if s := t.suspects[l.Content]; s != nil && !l.Item && s.crashes() >= crashLimit {
+		t.ban(now, []uint64{l.Content}, s.losses)
+	}
+	parts := t.culprits(l)
+	if len(parts) == 0 {
+		return
+	}
+	losses := t.suspects[parts[0]].losses
+	t.ban(now, parts, losses)
+	for _, p := range parts {
+		delete(t.suspects, p)
+	}
+	t.discard(parts)
+}
+
+// culprits returns the parts of a loss that explain it best and have reached their limits; none if there are no such
+// parts. Parts without a recent answer come first, then those with the most crashes. A part of one request only, which is
+// repeated, is no better explanation than the request.
+func (t *CrashTracker) culprits(l *loss) []uint64 {
+	parts := make([]uint64, 0, len(l.Parts))
+	best, bestSound := 0, false
+	for _, p := range l.Parts {
+		s := t.suspects[p]
+		if s == nil || s.requests() < 2 {
+			continue
+		}
+		n, sound := s.crashes(), t.sound.contains(p)
+		if limit := limitOf(sound); n < limit {
+			continue
+		}
+		switch {
+		case len(parts) == 0, bestSound && !sound, sound == bestSound && n > best:
+			parts, best, bestSound = append(parts[:0], p), n, sound
+		case sound == bestSound && n == best && !slices.Contains(parts, p):
+			parts = append(parts, p)
+		}
+	}
+	return parts
+}
+
+func limitOf(sound bool) int {
+	if sound {
+		return soundCrashLimit
+	}
+	return crashLimit
+}
+
+// discard removes the losses that a ban explains from the other traits.
+func (t *CrashTracker) discard(parts []uint64) {
+	for trait, s := range t.suspects {
+		s.losses = slices.DeleteFunc(s.losses, func(l *loss) bool { return containsAll(l.Parts, parts) })
+		if len(s.losses) == 0 {
+			delete(t.suspects, trait)
+		}
+	}
+}
+
+func containsAll(list, wanted []uint64) bool {
+	return !slices.ContainsFunc(wanted, func(w uint64) bool { return !slices.Contains(list, w) })
+}
+
+// RecordAnswered records that the server of a run has got beyond the begin of its answer. Requests with the same traits
+// that were lost before the run began had another cause.
+func (t *CrashTracker) RecordAnswered(now time.Time, r Run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range r.Parts {
+		t.sound.add(p)
+	}
+	if len(t.bans) > 0 {
+		t.recordBannedAnswer(now, &r)
+	}
+	if len(t.suspects) == 0 {
+		return
+	}
+	for _, trait := range r.traits() {
+		s := t.suspects[trait]
+		if s == nil {
+			continue
+		}
+		s.losses = slices.DeleteFunc(s.losses, func(l *loss) bool { return !l.Began.After(r.Began) })
+		if len(s.losses) == 0 {
+			delete(t.suspects, trait)
+		}
+	}
+}
+
+// ServerEnded records that a server has terminated unexpectedly or has restarted.
+func (t *CrashTracker) ServerEnded(now time.Time, server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var confirmed []*loss
+	for _, s := range t.suspects {
+		for _, l := range s.losses {
+			if l.Server == server && !l.crashed && now.Sub(l.at) <= confirmWindow {
+				l.crashed = true
+				confirmed = append(confirmed, l)
+			}
+		}
+	}
+	t.confirmBans(now, server)
+	for _, l := range confirmed {
+		t.judge(now, l)
+	}
+}
+
+// Suspects returns the number of traits with lost runs.
+func (t *CrashTracker) Suspects() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.suspects)
+}
+
+// suspect returns the entry of a trait, which it creates if there is none. If there are maxSuspects, one of those with the
+// fewest losses is evicted: single losses are common, and must not keep the tracker from counting further ones.
+func (t *CrashTracker) suspect(now time.Time, trait uint64) *suspect {
+	if s := t.suspects[trait]; s != nil {
+		return s
+	}
+	if len(t.suspects) >= maxSuspects {
+		t.evict(now)
+	}
+	s := &suspect{}
+	t.suspects[trait] = s
+	return s
+}
+
+// evict removes the expired suspects, or, if there are none, the one with the fewest losses, of several the oldest.
+func (t *CrashTracker) evict(now time.Time) {
+	var worst uint64
+	var least *suspect
+	for trait, s := range t.suspects {
+		n := len(s.losses)
+		if n == 0 || now.Sub(s.losses[n-1].at) > suspectTTL {
+			delete(t.suspects, trait)
+			continue
+		}
+		if least == nil || n < len(least.losses) ||
+			(n == len(least.losses) && s.losses[n-1].at.Before(least.losses[n-1].at)) {
+			worst, least = trait, s
+		}
+	}
+	if len(t.suspects) >= maxSuspects {
+		delete(t.suspects, worst)
+	}
+}
+
+// generations is a set of parts that keeps the maxSoundParts/2 that were added last, and up to as many older ones.
+type generations struct{ current, previous map[uint64]struct{} }
+
+func (g *generations) add(p uint64) {
+	if _, ok := g.current[p]; ok {
+		return
+	}
+	if g.current == nil || len(g.current) >= maxSoundParts/2 {
+		g.previous, g.current = g.current, map[uint64]struct{}{}
+	}
+	g.current[p] = struct{}{}
+}
+
+func (g *generations) contains(p uint64) bool {
+	_, current := g.current[p]
+	_, previous := g.previous[p]
+	return current || previous
+}
--- a/core/guavapoison/registry.go
+++ b/core/guavapoison/registry.go
@@ -22,13 +22,15 @@
 // Verdict is the decision on whether and how a request may be sent.
 type Verdict string
 
-// The verdicts of Check.
+// The verdicts of Registry.Check and CrashTracker.Check.
 const (
 	Pass Verdict = "pass"
 	// Alone means that the request is suspect: it has to be sent to the server with the fewest other requests.
 	Alone Verdict = "alone"
 	// Wait means that the request is suspect and that an equal one is running, whose outcome decides.
 	Wait Verdict = "wait"
+	// Try means that a ban of the request has lapsed: it may run at once, as a trial, or has to be refused.
+	Try Verdict = "try"
 	// Refuse means that the request has crashed servers repeatedly.
 	Refuse Verdict = "refuse"
 )
--- a/io/guavacoord/ban.go
+++ b/io/guavacoord/ban.go
@@ -1,69 +1,90 @@
 package guavacoord
 
 import (
-	"maps"
 	"strconv"
+	"strings"
 	"time"
 
-	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavapoison"
 	"guavaridge/io/guavamesh"
 )
 
-// maxBans bounds the number of bans that a VM stores, each of about 50 bytes.
-const maxBans = 500
-
-// bans maps the content hash of a request that is refused because it crashes servers to the time at which the ban
-// expires. Every VM stores all bans, since the coordinator that counted the crashes can fail.
-type bans map[uint64]time.Time
-
-// add stores a ban and reports whether it is new. A ban beyond maxBans is dropped.
-func (b bans) add(now time.Time, n guavaplace.Ban) bool {
-	if b[n.Content].After(now) {
-		return false
-	}
-	if len(b) >= maxBans {
-		maps.DeleteFunc(b, func(_ uint64, expiry time.Time) bool { return !expiry.After(now) })
-	}
-	if len(b) >= maxBans {
-		return false
+// encodeBans returns the message for bans.
+func encodeBans(now time.Time, list []guavapoison.Ban) banned {
+	var m banned
+	for _, b := range list {
+		m.List = append(m.List, ban{
+			Content: b.ID(), Left: max(b.Until.Sub(now), 0), Traits: b.Traits, Trials: b.Trials, Confirmed: b.Confirmed,
+			Changed: b.Changed.UnixMilli(), Lifted: b.Lifted,
+		})
 	}
-	b[n.Content] = now.Add(n.Left)
-	return true
+	return m
 }
 
-// list returns the bans that have not expired.
-func (b bans) list(now time.Time) []guavaplace.Ban {
-	list := make([]guavaplace.Ban, 0, len(b))
-	for content, expiry := range b {
-		if remaining := expiry.Sub(now); remaining > 0 {
-			list = append(list, guavaplace.Ban{Content: content, Left: remaining})
+// decode returns the bans of a message. Those of an earlier version have only Content and Left.
+func (m banned) decode(now time.Time) []guavapoison.Ban {
+	list := make([]guavapoison.Ban, 0, len(m.List))
+	for _, b := range m.List {
+		n := guavapoison.Ban{
+			Traits: b.Traits, Until: now.Add(b.Left), Trials: b.Trials, Confirmed: b.Confirmed,
+			Changed: time.UnixMilli(b.Changed), Lifted: b.Lifted,
+		}
+		if len(n.Traits) == 0 {
+			n.Traits = []uint64{b.Content}
 		}
+		list = append(list, n)
 	}
 	return list
 }
 
-// addBans stores bans and forwards the new ones on all other links. They were received on the link from, or come from
-// this VM's own schedulers if from is nil.
-func (c *Client) addBans(from *guavamesh.Link, list []guavaplace.Ban) {
+// OnBans sets the function that receives the bans that this VM has changed, for the store. It is called before Run.
+func (c *Client) OnBans(save func(list []guavapoison.Ban)) { c.saveBans = save }
+
+// MergeBans adopts the bans of the store. Those that are new to this VM are sent to other VMs.
+func (c *Client) MergeBans(list []guavapoison.Ban) { c.mergeBans(nil, list) }
+
+// LiftBan lifts the ban with an ID, whose row an operator has removed.
+func (c *Client) LiftBan(id uint64) {
+	c.crashes.Lift(time.Now(), id)
+	c.publishBans(c.crashes.TakeChanges())
+}
+
+// mergeBans adopts bans and forwards those that are new on all links but the one on which they were received. Requests that
+// wait here are refused with the next decision of their scheduler.
+func (c *Client) mergeBans(from *guavamesh.Link, list []guavapoison.Ban) {
 	now := time.Now()
-	var added []guavaplace.Ban
-	c.mu.Lock()
-	for _, b := range list {
-		if c.bans.add(now, b) {
-			added = append(added, b)
-			c.logger.Warn("request crashes servers", "content", strconv.FormatUint(b.Content, 16), "refused", b.Left.Milliseconds())
-		}
+	adopted := c.crashes.Merge(now, list)
+	if len(adopted) == 0 {
+		return
 	}
-	c.mu.Unlock()
-	if len(added) == 0 {
+	c.logBans(now, adopted)
+	c.mesh.Broadcast(from, encodeBans(now, adopted))
+}
+
+// publishBans sends bans that this VM has changed to the other VMs and to the store.
+func (c *Client) publishBans(list []guavapoison.Ban) {
+	if len(list) == 0 {
 		return
 	}
-	c.mesh.Broadcast(from, banned{List: added})
+	now := time.Now()
+	c.logBans(now, list)
+	c.mesh.Broadcast(nil, encodeBans(now, list))
+	if c.saveBans != nil {
+		c.saveBans(list)
+	}
 }
 
-// banRemaining returns how long requests with the content hash are still refused, 0 if there is no ban.
-func (c *Client) banRemaining(content uint64) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return max(time.Until(c.bans[content]), 0)
+func (c *Client) logBans(now time.Time, list []guavapoison.Ban) {
+	for _, b := range list {
+		traits := make([]string, 0, len(b.Traits))
+		for _, t := range b.Traits {
+			traits = append(traits, strconv.FormatUint(t, 16))
+		}
+		if b.Lifted {
+			c.logger.Info("ban lifted", "content", strings.Join(traits, ","))
+			continue
+		}
+		c.logger.Warn("request crashes servers", "content", strings.Join(traits, ","), "refused",
+			b.Until.Sub(now).Milliseconds(), "confirmed", b.Confirmed, "trials", b.Trials)
+	}
 }
--- a/io/guavacoord/client.go
+++ b/io/guavacoord/client.go
@@ -12,6 +12,7 @@
 
 	"guavaridge/core/guavamember"
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavapoison"
 	"guavaridge/core/guavaquota"
 	"guavaridge/core/guavatraffic"
 	"guavaridge/io/guavamesh"
@@ -67,6 +68,10 @@
 	notices Notices
 	logger  hclog.Logger
 	next    guavamesh.Handler
+	crashes *guavapoison.CrashTracker
+
+	// saveBans receives the bans that this VM has changed. It is set before Run.
+	saveBans func(list []guavapoison.Ban)
 
 	startupDone chan struct{} // closed startupTime after the start: this VM no longer waits for links to others
 
@@ -89,7 +94,6 @@
 	active        map[guavaplace.Key]*Reservation
 	tokenCaches   map[string]*tokenCache
 	tokenRequests map[uint64]chan given
-	bans          bans
 }
 
 // pendingRequest is a request that waits for a decision.
@@ -114,10 +118,10 @@
 		vms: []VM{self}, shards: map[string]int{}, ranks: map[string][]string{}, incoming: map[string]*guavamesh.Link{},
 		suspects: map[string]time.Time{}, coordinators: map[string]string{},
 		pending: map[guavaplace.Key]*pendingRequest{}, active: map[guavaplace.Key]*Reservation{},
-		tokenCaches: map[string]*tokenCache{}, tokenRequests: map[uint64]chan given{}, bans: bans{},
+		tokenCaches: map[string]*tokenCache{}, tokenRequests: map[uint64]chan given{}, crashes: guavapoison.NewCrashTracker(),
 	}
 	c.startupDone = make(chan struct{})
-	c.local = newCoordinator(self.Name, config, t, n, c.deliver, func(list []guavaplace.Ban) { c.addBans(nil, list) }, l)
+	c.local = newCoordinator(self.Name, config, t, n, c.deliver, c.crashes, c.publishBans, l)
 	c.mesh = guavamesh.New(self.Identity, dial, c, l)
 	return c
 }
--- a/io/guavacoord/coordinator.go
+++ b/io/guavacoord/coordinator.go
@@ -12,6 +12,7 @@
 
 	"guavaridge/core/guavamember"
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavapoison"
 	"guavaridge/core/guavaquota"
 	"guavaridge/core/guavatraffic"
 )
@@ -24,12 +25,13 @@
 
 // coordinator decides about the requests and token requests for which this VM is responsible.
 type coordinator struct {
-	self          string
-	deliver       deliverFunc
-	broadcastBans func(list []guavaplace.Ban) // sends them to all VMs
-	notices       Notices
-	config        func() *guavatraffic.Config
-	logger        hclog.Logger
+	self        string
+	deliver     deliverFunc
+	crashes     *guavapoison.CrashTracker
+	publishBans func(list []guavapoison.Ban) // sends them to all VMs and the store
+	notices     Notices
+	config      func() *guavatraffic.Config
+	logger      hclog.Logger
 
 	mu           sync.Mutex
 	services     map[string]*service              // by name of the shard
@@ -50,10 +52,10 @@
 
 func newCoordinator(
 	self string, config func() *guavatraffic.Config, t guavaquota.Tolerance, n Notices, d deliverFunc,
-	ban func(list []guavaplace.Ban), l hclog.Logger,
+	crashes *guavapoison.CrashTracker, publish func(list []guavapoison.Ban), l hclog.Logger,
 ) *coordinator {
 	c := &coordinator{
-		self: self, deliver: d, broadcastBans: ban, config: config, notices: n, logger: l,
+		self: self, deliver: d, crashes: crashes, publishBans: publish, config: config, notices: n, logger: l,
 		services: map[string]*service{}, servers: map[string][]guavatraffic.Server{},
 	}
 	for g := range c.allocators {
@@ -89,15 +91,11 @@
 	c.mu.Lock()
 	c.servers = byService
 	c.mu.Unlock()
-	var crashing []guavaplace.Ban
 	for _, name := range c.shardNames() {
 		c.withScheduler(name, func(s *guavaplace.Scheduler) []guavaplace.Decision {
-			decisions := c.setShard(s, name, byService)
-			crashing = append(crashing, s.PendingBans(time.Now())...)
-			return decisions
+			return c.setShard(s, name, byService)
 		})
 	}
-	c.broadcastBans(crashing)
 }
 
 // setShard passes to the scheduler of a shard those of the servers that belong to the shard.
@@ -152,13 +150,15 @@
 	c.mu.Lock()
 	s := c.services[name]
 	if s == nil {
-		s = &service{name: name, scheduler: guavaplace.New()}
+		s = &service{name: name, scheduler: guavaplace.New(c.crashes)}
 		c.setShard(s.scheduler, name, c.servers)
 		c.services[name] = s
 	}
 	decisions := step(s.scheduler)
 	c.armTimer(s)
+	bans := c.crashes.TakeChanges()
 	c.mu.Unlock()
+	c.publishBans(bans)
 	c.deliverDecisions(name, decisions)
 }
 
--- a/io/guavacoord/link.go
+++ b/io/guavacoord/link.go
@@ -37,11 +37,8 @@
 	if !l.Outgoing {
 		c.addIncoming(l)
 	}
-	c.mu.Lock()
-	list := c.bans.list(time.Now())
-	c.mu.Unlock()
-	if len(list) > 0 {
-		l.Send(banned{List: list})
+	if list := c.crashes.Bans(); len(list) > 0 {
+		l.Send(encodeBans(time.Now(), list))
 	}
 	if l.Outgoing {
 		c.announceGroups(false)
@@ -116,7 +113,7 @@
 	case decided, given:
 		c.handleReply(l.Peer.Name, message)
 	case banned:
-		c.addBans(l, m.List)
+		c.mergeBans(l, m.decode(time.Now()))
 	case submit, withdraw, started, release, join, leave, adopt, take:
 		c.handleIncoming(l, message)
 	default:
--- a/io/guavacoord/message.go
+++ b/io/guavacoord/message.go
@@ -52,7 +52,19 @@
 )
 
 // banned tells all VMs which requests are refused because they crash servers, and for how long.
-type banned struct{ List []guavaplace.Ban }
+type banned struct{ List []ban }
+
+// ban is the message form of a guavapoison.Ban. Content is its ID, by which VMs of an earlier version refuse a request,
+// and Left the remaining time.
+type ban struct {
+	Content   uint64
+	Left      time.Duration
+	Traits    []uint64
+	Trials    int
+	Confirmed bool
+	Changed   int64 // Unix time in milliseconds
+	Lifted    bool
+}
 
 // decided holds decisions of a coordinator.
 type decided struct {
--- a/io/guavacoord/reservation.go
+++ b/io/guavacoord/reservation.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"guavaridge/core/guavaplace"
+	"guavaridge/core/guavapoison"
 	"guavaridge/core/guavatraffic"
 )
 
@@ -30,6 +32,7 @@
 	yield       chan struct{}
 	yieldOnce   sync.Once
 	releaseOnce sync.Once
+	begun       atomic.Bool
 }
 
 // Yield returns a channel that is closed when a batch item is preempted by an online request.
@@ -63,6 +66,9 @@
 	p.client.sendToCoordinator(p.service, m)
 }
 
+// Begun records that the server got beyond the begin of its answer, which Release reports.
+func (p *Reservation) Begun() { p.begun.Store(true) }
+
 // Silent reports that no byte of a response has arrived in time. The request may go on.
 func (p *Reservation) Silent() {
 	p.client.sendToCoordinator(p.service, release{
@@ -78,7 +84,8 @@
 		delete(c.active, p.request.Key)
 		c.mu.Unlock()
 		c.sendToCoordinator(p.service, release{
-			Service: p.service, Report: guavaplace.Report{Key: p.request.Key, Outcome: o, Work: work}, Notices: p.notice(),
+			Service: p.service, Notices: p.notice(),
+			Report: guavaplace.Report{Key: p.request.Key, Outcome: o, Work: work, Begun: p.begun.Load()},
 		})
 	})
 }
@@ -97,7 +104,7 @@
 	start := time.Now()
 	original := r
 	service = c.pickShard(service)
-	if remaining := c.banRemaining(r.Content); remaining > 0 {
+	if v, remaining := c.crashes.Check(start, r.Content, r.Parts); v == guavapoison.Refuse {
 		return nil, &RefusalError{After: remaining, Reason: guavaplace.CrashReason}
 	}
 	for range maxAttempts {
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -89,7 +89,8 @@
 	sender     *guavasend.Sender
 	metrics    *guavametrics.Metrics
 
-	config, servers, vms, jobs *guavaview.Follower
+	config, servers, vms, jobs, bans *guavaview.Follower
+	banTable                         *banTable
 
 	drain     chan struct{}
 	drainOnce sync.Once
@@ -159,8 +160,12 @@
 	e.vms = guavaview.New(p.Store, tableVMs, []string{""}, guavaview.DefaultWait, e.registry.applyVMs, logger)
 	e.jobs = guavaview.New(p.Store, guavajobs.TableJobs, guavajobs.Parts(), guavaview.DefaultWait, e.batch.Apply, logger)
 	e.jobs.SetBatchDelay(jobsBatchDelay)
+	e.banTable = newBanTable(store, e.client.MergeBans, e.client.LiftBan, logger)
+	e.client.OnBans(e.banTable.save)
+	e.bans = guavaview.New(p.Store, tableBans, []string{""}, guavaview.DefaultWait, e.banTable.apply, logger)
 	e.replicator.followers = map[string]*guavaview.Follower{
 		p.ConfigTable: e.config, p.ServerTable: e.servers, tableVMs: e.vms, guavajobs.TableJobs: e.jobs,
+		tableBans: e.bans,
 	}
 	e.replicator.connectFollowers()
 	if err := e.registerMetrics(metrics); err != nil {
@@ -249,11 +254,12 @@
 			return nil
 		})
 	}
-	for _, f := range [...]*guavaview.Follower{e.config, e.servers, e.vms, e.jobs} {
+	for _, f := range [...]*guavaview.Follower{e.config, e.servers, e.vms, e.jobs, e.bans} {
 		background(f.Run)
 	}
 	background(e.registry.register)
 	background(e.client.Run)
+	background(e.banTable.run)
 	background(e.replicator.run)
 	background(e.monitorStore)
 	background(func(ctx context.Context) { e.batch.Run(ctx, e.setOwners) })
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -20,6 +20,9 @@
 const (
 	// bufferSize is the size in bytes of the buffer for reading streamed responses.
 	bufferSize = 4 << 10
+	// begunEvents is the number of events of a stream after which its server has got beyond the begin of its answer. A
+	// server that crashes on a request may have sent the first one.
+	begunEvents = 2
 )
 
 // relayBuffered relays a response that is not a stream. It reads the complete response first, so that the request can
@@ -42,6 +45,8 @@
 	outcome := guavaplace.Done
 	if status >= fasthttp.StatusInternalServerError {
 		outcome = guavaplace.Failed
+	} else if status < fasthttp.StatusMultipleChoices {
+		reservation.Begun()
 	}
 	reservation.Release(outcome, 0)
 	if outcome == guavaplace.Failed && c.route.Repeatable() && c.executions+1 < c.route.Attempts && c.runCtx.Err() == nil {
@@ -103,6 +108,7 @@
 	pending     []byte // complete events that were not yet relayed
 	lastEventID int    // ID of the last complete event, -1 for none
 	events      int
+	received    int // events of the current exchange
 	lastEventAt time.Time
 	buffer      []byte
 	done        bool
@@ -163,6 +169,9 @@
 			}
 			s.pending = append(s.pending, e.Raw...)
 			s.events++
+			if s.received++; s.received == begunEvents {
+				s.reservation.Begun()
+			}
 			s.lastEventAt = time.Now()
 			if e.ID >= 0 {
 				s.lastEventID = e.ID
@@ -286,7 +295,7 @@
 	reservation.Started(info.Load, info.Leaving)
 	status := x.Response.StatusCode()
 	if status == fasthttp.StatusOK && !info.Misdirected && !info.NotExecuted {
-		s.exchange, s.reservation, s.splitter, s.readErr = x, reservation, guavaevent.Splitter{}, nil
+		s.exchange, s.reservation, s.splitter, s.readErr, s.received = x, reservation, guavaevent.Splitter{}, nil, 0
 		return nil
 	}
 	x.Close()
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -33,12 +33,16 @@
 	serverTimeout = 2500 * time.Millisecond
 	// retryDelay is the delay before an item is retried when no reservation was available or a server rejected it.
 	retryDelay = 150 * time.Millisecond
+	// maxBannedDelay bounds the delay before a banned item is retried, since its ban may be lifted earlier than announced.
+	maxBannedDelay = 2 * time.Second
 	// retentionMargin is how long after the end of its retention an item is given up; it allows for clock differences.
 	retentionMargin = 6 * time.Second
 	// maxIdle is the longest time that a connection may have been idle when an item is sent over it.
 	maxIdle = 2 * time.Second
 	// bufferSize is the size of the buffer for reading events, in bytes.
 	bufferSize = 4 << 10
+	// begunEvents is the number of events after which the server of an item has got beyond the begin of its answer.
+	begunEvents = 2
 	// minRemainingShare is the lower bound of an item's expected remaining output, as a share of its expected output.
 	minRemainingShare = 0.05
 	// expectedOutputShare is the expected output of items without a hint, as a share of their maximum output.
@@ -63,7 +67,9 @@
 	runner *runner
 	index  int // of the item in its job
 	item   guavaprogress.Item
-	avoid  []string // the server of the last failed attempt
+	// content identifies the item among the requests that crash servers.
+	content uint64
+	avoid   []string // the server of the last failed attempt
 	// refusedBy holds the servers that refused the item. Each attempt has the same ID.
 	refusedBy map[string]bool
 
@@ -73,7 +79,11 @@
 }
 
 func newItemRun(r *runner, index int, p *guavaprogress.Progress) *itemRun {
-	return &itemRun{runner: r, index: index, item: r.items[index], progress: p, saved: p.Save(), refusedBy: map[string]bool{}}
+	i := r.items[index]
+	return &itemRun{
+		runner: r, index: index, item: i, content: guavapoison.NewFingerprint("item "+i.ID, nil).Sum(), progress: p,
+		saved: p.Save(), refusedBy: map[string]bool{},
+	}
 }
 
 // unsaved returns the progress, and whether it is worth saving: it has at least minEvents new events, or another
@@ -125,7 +135,7 @@
 		}
 		reservation, err := r.acquire(ctx, service, job)
 		if err != nil {
-			r.wait(ctx, retryDelay)
+			r.wait(ctx, r.delayAfter(err))
 			continue
 		}
 		action, reason := r.send(ctx, reservation, job, expiry)
@@ -181,7 +191,7 @@
 		Class: guavaplace.Batch, Priority: j.Priority, Due: time.Until(time.UnixMilli(j.Deadline)) - completionMargin,
 		Tokens: r.item.Tokens, Work: r.remainingWork(r.stride(service)),
 		Made: float64(r.progress.Events() * max(r.stride(service), 1)), Affinity: r.item.Affinity, Avoid: r.avoid,
-		Parts: guavapoison.PartTraits(r.item.Parts),
+		Content: r.content, Parts: guavapoison.PartTraits(r.item.Parts),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("acquire a reservation for the item: %w", err)
@@ -194,6 +204,14 @@
 	return reservation, nil
 }
 
+// delayAfter returns the time until the next request for a reservation after one that failed.
+func (r *itemRun) delayAfter(err error) time.Duration {
+	if refusal := (*guavacoord.RefusalError)(nil); errors.As(err, &refusal) && refusal.Reason == guavaplace.CrashReason {
+		return min(max(refusal.After, retryDelay), maxBannedDelay)
+	}
+	return retryDelay
+}
+
 // done is the action after an attempt that completed the item.
 const done guavaprogress.Action = "done"
 
@@ -220,7 +238,7 @@
 	reservation.Started(response.Load, response.Leaving)
 	status := x.Response.StatusCode()
 	if status == fasthttp.StatusOK {
-		err := r.receive(x)
+		err := r.receive(x, reservation)
 		if err == nil {
 			x.Finish()
 			reservation.Release(guavaplace.Done, r.generatedTokens(j, before))
@@ -255,8 +273,9 @@
 }
 
 // receive adds events to the progress until the stream is complete.
-func (r *itemRun) receive(x *guavasend.Exchange) error {
+func (r *itemRun) receive(x *guavasend.Exchange, reservation *guavacoord.Reservation) error {
 	var s guavaevent.Splitter
+	start := r.progress.Events()
 	buffer := make([]byte, bufferSize)
 	if err := x.SetReadTimeout(serverTimeout); err != nil {
 		return err //nolint:wrapcheck // it says that the deadline was not set
@@ -283,6 +302,9 @@
 		if n := r.progress.TextSize(); n > maxTextSize {
 			return fmt.Errorf("text of %d bytes: %w", n, guavasend.ErrOverBudget)
 		}
+		if r.progress.Events() >= start+begunEvents {
+			reservation.Begun()
+		}
 		if r.progress.Events() > before {
 			if err := x.SetReadTimeout(serverTimeout); err != nil {
 				return err //nolint:wrapcheck // it says that the deadline was not set
