--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -69,6 +69,7 @@
 	item   guavaprogress.Item
 	// content identifies the item among the requests that crash servers.
 	content uint64
+	banned  bool     // whether it was refused because of a ban
 	avoid   []string // the server of the last failed attempt
 	// refusedBy holds the servers that refused the item. Each attempt has the same ID.
 	refusedBy map[string]bool
@@ -204,12 +205,19 @@
 	return reservation, nil
 }
 
-// delayAfter returns the time until the next request for a reservation after one that failed.
+// delayAfter returns the time until the next request for a reservation after one that failed. It logs the first refusal of
+// the item because of a ban.
 func (r *itemRun) delayAfter(err error) time.Duration {
-	if refusal := (*guavacoord.RefusalError)(nil); errors.As(err, &refusal) && refusal.Reason == guavaplace.CrashReason {
-		return min(max(refusal.After, retryDelay), maxBannedDelay)
+	refusal := (*guavacoord.RefusalError)(nil)
+	if !errors.As(err, &refusal) || refusal.Reason != guavaplace.CrashReason {
+		return retryDelay
 	}
-	return retryDelay
+	if !r.banned {
+		r.banned = true
+		r.runner.jobs.Logger.Warn("item held back", "item", r.item.ID, "job", r.runner.job.ID, "cause", refusal.Reason,
+			"parts", strings.Join(r.item.Parts, ","), "after", refusal.After.Milliseconds())
+	}
+	return min(max(refusal.After, retryDelay), maxBannedDelay)
 }
 
 // done is the action after an attempt that completed the item.
