Take a stream that ends inside an event as broken off

What callers saw: a stream whose server broke off in the middle of an event ended as if it were complete, with half an event. A response may come with neither a length nor chunks, and then a server that breaks off closes its connection just as one that is done.

Cause: at the end of the response the gateway passed on the bytes of the unfinished event and ended the caller's stream.

Now such an end is an error: the stream goes on elsewhere if it may, else the caller's connection is closed.

--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -98,6 +98,10 @@
 // errNoEvents means that a stream ended before its first event. No request causes that, so the server has failed.
 var errNoEvents = errors.New("stream without events")
 
+// errInsideEvent means that a stream ended inside an event, so that its server has broken it off. Without a length or chunks
+// that looks like the end of a complete response.
+var errInsideEvent = errors.New("stream ended inside an event")
+
 // stream is the body of a streamed response. It relays complete events only, and the status and headers together with
 // the first of them, so that the request can be retried if a server fails before.
 type stream struct {
@@ -183,6 +187,12 @@
 		switch {
 		case errors.Is(err, io.EOF) && s.events == 0:
 			return errNoEvents
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(s.splitter.Rest())) > 0:
+			s.readErr = errInsideEvent
+			if len(s.pending) == 0 {
+				return errInsideEvent
+			}
+			return nil
 		case errors.Is(err, io.EOF):
 			s.pending = append(s.pending, s.splitter.Rest()...)
 			s.done = true
