Continue a stream only with the events that follow

What callers saw: a stream broke off, and the answer of the next server went into it whatever it was: the text or the head of an error that came with a 200, events from the start or after a gap, or nothing at all, after which the stream ended as if it were complete.

Cause: the gateway checked the status of the next answer only, and counted the events of the whole stream, not of the answer, to see whether there were any.

Now each event of a continuation has to carry the number after the last one, and a continuation without events is an error; both are tried elsewhere or close the caller's connection.

--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -98,6 +98,9 @@
 // errNoEvents means that a stream ended before its first event. No request causes that, so the server has failed.
 var errNoEvents = errors.New("stream without events")
 
+// errNotContinued means that a server that was asked for the rest of a stream sent something else.
+var errNotContinued = errors.New("not the rest of the stream")
+
 // errInsideEvent means that a stream ended inside an event, so that its server has broken it off. Without a length or chunks
 // that looks like the end of a complete response.
 var errInsideEvent = errors.New("stream ended inside an event")
@@ -112,7 +115,8 @@
 	pending     []byte // complete events that were not yet relayed
 	lastEventID int    // ID of the last complete event, -1 for none
 	events      int
-	received    int // events of the current exchange
+	received    int  // events of the current exchange
+	continued   bool // the current exchange continues the stream of an earlier one
 	lastEventAt time.Time
 	buffer      []byte
 	done        bool
@@ -171,6 +175,9 @@
 			if !ok {
 				break
 			}
+			if s.continued && e.ID != s.lastEventID+1 {
+				return s.fail(fmt.Errorf("event %d after %d: %w", e.ID, s.lastEventID, errNotContinued))
+			}
 			s.pending = append(s.pending, e.Raw...)
 			s.events++
 			if s.received++; s.received == begunEvents {
@@ -185,30 +192,31 @@
 			err = holdErr
 		}
 		switch {
-		case errors.Is(err, io.EOF) && s.events == 0:
+		case errors.Is(err, io.EOF) && s.received == 0:
 			return errNoEvents
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(s.splitter.Rest())) > 0:
-			s.readErr = errInsideEvent
-			if len(s.pending) == 0 {
-				return errInsideEvent
-			}
-			return nil
+			return s.fail(errInsideEvent)
 		case errors.Is(err, io.EOF):
 			s.pending = append(s.pending, s.splitter.Rest()...)
 			s.done = true
 			s.exchange.Finish()
 			s.reservation.Release(guavaplace.Done, 0)
 		case err != nil:
-			s.readErr = err
-			if len(s.pending) == 0 {
-				return err
-			}
-			return nil
+			return s.fail(err)
 		}
 	}
 	return nil
 }
 
+// fail records that the exchange has failed. The error is returned at once if no events are left to relay before it.
+func (s *stream) fail(err error) error {
+	s.readErr = err
+	if len(s.pending) == 0 {
+		return err
+	}
+	return nil
+}
+
 // Read implements io.Reader for the HTTP server. An error aborts the caller's connection, so that a truncated response
 // does not look complete.
 func (s *stream) Read(p []byte) (int, error) {
@@ -242,7 +250,10 @@
 		return fmt.Errorf("request ended during the stream: %w: %w", context.Cause(c.runCtx), cause)
 	}
 	outcome := guavaplace.ConnectionLost
-	if c.replacement != nil {
+	switch {
+	case errors.Is(cause, errNotContinued):
+		outcome = guavaplace.Failed
+	case c.replacement != nil:
 		outcome = guavaplace.TimedOut
 	}
 	s.reservation.Release(outcome, 0)
@@ -305,7 +316,8 @@
 	reservation.Started(info.Load, info.Leaving)
 	status := x.Response.StatusCode()
 	if status == fasthttp.StatusOK && !info.Misdirected && !info.NotExecuted {
-		s.exchange, s.reservation, s.splitter, s.readErr, s.received = x, reservation, guavaevent.Splitter{}, nil, 0
+		s.exchange, s.reservation, s.splitter = x, reservation, guavaevent.Splitter{}
+		s.readErr, s.received, s.continued = nil, 0, true
 		return nil
 	}
 	x.Close()
