Complete an item only with events of its last run

An item whose server broke off was listed as succeeded with a part of its text when the next server sent a 200 without events: the check that a stream has events counted those of earlier runs. TestItemGoesOnWithError failed in the cases without events; it passes.

--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -319,7 +319,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && s.Pending() == 0 && r.progress.Events() > 0:
+		case errors.Is(err, io.EOF) && s.Pending() == 0 && r.progress.Events() > start:
 			return nil
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
