Learn of answers at once while a part is suspected

A server that resets connections lost six runs within 0.12 s, while answers were reported at the end of streams 0.6 s and of items 15 s later.

Now the coordinator asks for an early report of the answer when a run of a request with one of the parts was lost, and always of items; every VM remembers the parts of its own answered requests; and a part that had answers is banned only if its losses span a second. New cases of TestCrashingPart, and TestAnswersAreReportedAtOnce.

--- a/core/guavaplace/crash_test.go
+++ b/core/guavaplace/crash_test.go
@@ -1,6 +1,7 @@
 package guavaplace_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,49 @@
 	"guavaridge/core/guavatraffic"
 )
 
+// TestAnswersAreReportedAtOnce guards against a part of prompts that is banned because answers to requests with it take longer
+// than it takes a server to lose several of them.
+func TestAnswersAreReportedAtOnce(t *testing.T) {
+	const part = 9
+	s := newScheduler(4, 4)
+	now := epoch
+	request := func(n uint64, class guavaplace.Class) guavaplace.Request {
+		r := online(n)
+		if class == guavaplace.Batch {
+			r = batch(n, 18*time.Second)
+		}
+		r.Content, r.Parts = 100+n, []uint64{part}
+		return r
+	}
+	run := func(n uint64, class guavaplace.Class) (watched bool) {
+		t.Helper()
+		got := s.Submit(now, request(n, class))
+		want(t, "request", got, fmt.Sprintf("%d run", n))
+		return len(got) == 1 && got[0].Watched
+	}
+	lose := func(n uint64) {
+		now = now.Add(300 * time.Millisecond)
+		s.Release(now, guavaplace.Report{Key: request(n, guavaplace.Online).Key, Outcome: guavaplace.ConnectionLost})
+		now = now.Add(time.Second)
+	}
+	if run(1, guavaplace.Online) {
+		t.Error("an online request is watched before any run was lost")
+	}
+	if !run(2, guavaplace.Batch) {
+		t.Error("a batch item with shared parts is not watched")
+	}
+	lose(1)
+	for n := uint64(3); n < 9; n += 2 {
+		if !run(n, guavaplace.Online) {
+			t.Errorf("request %d is not watched after a run with its part was lost", n)
+		}
+		s.Begun(now, request(n, guavaplace.Online).Key)
+		run(n+1, guavaplace.Online)
+		lose(n + 1)
+	}
+	want(t, "after answers in between", s.Submit(now, request(20, guavaplace.Online)), "20 run")
+}
+
 // TestCrashingRequest guards against requests that keep crashing servers, by retries or from the queue, and against
 // refusing requests whose servers only drained.
 func TestCrashingRequest(t *testing.T) {
--- a/core/guavaplace/dispatch.go
+++ b/core/guavaplace/dispatch.go
@@ -138,6 +138,7 @@
 	s.decide(Decision{
 		Key: w.Key, Action: Run, Server: v.ID, Address: v.Address, Born: v.Born,
 		Waited: now.Sub(w.arrivedAt), Expected: s.estimate(w.Class).firstByte(),
+		Watched: (w.Class == Batch && len(w.Parts) > 0) || s.crashes.IsSuspect(w.Parts),
 	})
 }
 
--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -86,6 +86,9 @@
 	Reason string
 	// Waited is the time between submission and decision.
 	Waited time.Duration
+	// Watched asks the VM to report at once when the server gets beyond the begin of its answer: a part of the prompt is
+	// suspected of crashing servers, or the answer takes long.
+	Watched bool
 }
 
 // CrashReason is the Reason of decisions that refuse a request because it crashes the servers that run it.
--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -132,6 +132,13 @@
 	}
 }
 
+// Begun records that the server of a run has got beyond the begin of its answer.
+func (s *Scheduler) Begun(now time.Time, k Key) {
+	if r := s.runs[k]; r != nil {
+		s.recordCrash(now, r, Done, true)
+	}
+}
+
 // Silent records that no byte of a response to a run has arrived in time. The run goes on, since its server may be sound:
 // it keeps its slot, and its outcome counts as that of any other.
 func (s *Scheduler) Silent(now time.Time, k Key) []Decision {
--- a/core/guavapoison/crash_tracker.go
+++ b/core/guavapoison/crash_tracker.go
@@ -13,6 +13,9 @@
 	// soundCrashLimit is the limit for a part of requests that were answered before: when many servers fail, requests with
 	// a common part lose several runs in a row.
 	soundCrashLimit = 6
+	// soundCrashSpan is the minimum time between the first and the last lost run for such a part. A server that resets
+	// connections loses several runs within milliseconds, before another one can have answered.
+	soundCrashSpan = time.Second
 	// maxLosses is the maximum number of lost runs stored for one trait.
 	maxLosses = 8
 	// confirmWindow is the time after a lost run within which the termination of its server confirms a crash. Within some
@@ -188,7 +191,7 @@
 			continue
 		}
 		n, sound := s.crashes(), t.sound.contains(p)
-		if limit := limitOf(sound); n < limit {
+		if !s.reached(sound) {
 			continue
 		}
 		switch {
@@ -201,11 +204,12 @@
 	return parts
 }
 
-func limitOf(sound bool) int {
-	if sound {
-		return soundCrashLimit
+// reached reports whether a part with the losses is banned. sound parts had answers before.
+func (s *suspect) reached(sound bool) bool {
+	if !sound {
+		return s.crashes() >= crashLimit
 	}
-	return crashLimit
+	return s.crashes() >= soundCrashLimit && s.losses[len(s.losses)-1].at.Sub(s.losses[0].Began) >= soundCrashSpan
 }
 
 // discard removes the losses that a ban explains from the other traits.
@@ -222,6 +226,16 @@
 	return !slices.ContainsFunc(wanted, func(w uint64) bool { return !slices.Contains(list, w) })
 }
 
+// RecordSound records that the parts belong to a request that was answered. A VM does so for its own requests, so that it
+// knows the parts when it becomes the one that decides.
+func (t *CrashTracker) RecordSound(parts []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		t.sound.add(p)
+	}
+}
+
 // RecordAnswered records that the server of a run has got beyond the begin of its answer. Requests with the same traits
 // that were lost before the run began had another cause.
 func (t *CrashTracker) RecordAnswered(now time.Time, r Run) {
@@ -248,6 +262,15 @@
 	}
 }
 
+// IsSuspect reports whether runs of requests with one of the parts were lost, so that an answer to one is of interest.
+func (t *CrashTracker) IsSuspect(parts []uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return (len(t.suspects) > 0 || len(t.bans) > 0) && slices.ContainsFunc(parts, func(p uint64) bool {
+		return t.suspects[p] != nil || slices.ContainsFunc(t.byTrait[p], func(b *ban) bool { return !b.Lifted })
+	})
+}
+
 // ServerEnded records that a server has terminated unexpectedly or has restarted.
 func (t *CrashTracker) ServerEnded(now time.Time, server string) {
 	t.mu.Lock()
--- a/core/guavapoison/crash_tracker_test.go
+++ b/core/guavapoison/crash_tracker_test.go
@@ -65,6 +65,7 @@
 //   - run REQUEST SERVER...: a run on each server, lost after 1 s
 //   - silent REQUEST SERVER...: the same, with the connection open and no byte received
 //   - crash REQUEST...: for each, a run that is lost after 1 s, and its server terminates
+//   - quick REQUEST...: for each, a run that is lost after 10 ms, and whose server lives
 //   - together REQUEST...: runs on one server, which terminates after 1 s
 //   - item REQUEST...: as crash, for items of jobs
 //   - done REQUEST...: runs that are answered within 1 s
@@ -98,6 +99,12 @@
 				h.tracker.RecordLost(h.now, r, false)
 				h.tracker.ServerEnded(h.now, r.Server)
 			}
+		case "quick":
+			for _, q := range f[1:] {
+				r := h.run(q, fmt.Sprintf("server-%d", h.runs))
+				h.now = h.now.Add(10 * time.Millisecond)
+				h.tracker.RecordLost(h.now, r, false)
+			}
 		case "together":
 			list := make([]guavapoison.Run, 0, len(f)-1)
 			for _, q := range f[1:] {
@@ -206,6 +213,7 @@
 		{"beside different parts", "crash 1:8,9 2:7,9 3:6,9", "4:9 5:5,9", "6:8 7:7 8:6"},
 		{"with sound requests on the same servers", "done 90:8,7; together 1:8,9 50:8,7 51:8,4; together 2:8,9 52:8,3; together 3:8,9 53:8,7", "4:8,9", "5:8,7 6:8,4 7:8,3"},
 		{"a part with answers, many servers fail", "done 90:8; crash 1:8 2:8 3:8 4:8 5:8", "", "6:8"},
+		{"a part with answers, a server that resets", "done 90:8; quick 1:8 2:8 3:8 4:8 5:8 6:8 7:8 8:8", "", "9:8"},
 		{"a part that had answers", "done 90:9; crash 1:9 2:9 3:9 4:9 5:9 6:9", "7:9", "8:8"},
 		{"answers in between", "crash 1:8 2:8; done 90:8; crash 3:8 4:8; done 91:8; crash 5:8 6:8", "", "7:8"},
 		{"one request only", "crash 1:9 1:9 1:9", "1:9", "2:9"},
--- a/io/guavacoord/coordinator.go
+++ b/io/guavacoord/coordinator.go
@@ -224,6 +224,9 @@
 				l = &m.Load
 			}
 			s.Started(time.Now(), m.Key, l)
+			if m.Begun {
+				s.Begun(time.Now(), m.Key)
+			}
 			return nil
 		})
 	case join:
--- a/io/guavacoord/message.go
+++ b/io/guavacoord/message.go
@@ -31,6 +31,7 @@
 		Key     guavaplace.Key
 		Load    guavaplace.Load
 		Known   bool // whether the server reported its load
+		Begun   bool // whether the server has got beyond the begin of its answer
 		Notices []guavatraffic.Incarnation
 	}
 	release struct {
--- a/io/guavacoord/reservation.go
+++ b/io/guavacoord/reservation.go
@@ -33,6 +33,7 @@
 	yieldOnce   sync.Once
 	releaseOnce sync.Once
 	begun       atomic.Bool
+	watched     bool
 }
 
 // Yield returns a channel that is closed when a batch item is preempted by an online request.
@@ -66,8 +67,17 @@
 	p.client.sendToCoordinator(p.service, m)
 }
 
-// Begun records that the server got beyond the begin of its answer, which Release reports.
-func (p *Reservation) Begun() { p.begun.Store(true) }
+// Begun reports that the server got beyond the begin of its answer: at once if the coordinator has asked for it, else with
+// Release.
+func (p *Reservation) Begun() {
+	if p.begun.Swap(true) {
+		return
+	}
+	p.client.crashes.RecordSound(p.request.Parts)
+	if p.watched {
+		p.client.sendToCoordinator(p.service, started{Service: p.service, Key: p.request.Key, Notices: p.notice(), Begun: true})
+	}
+}
 
 // Silent reports that no byte of a response has arrived in time. The request may go on.
 func (p *Reservation) Silent() {
@@ -143,7 +153,7 @@
 		return nil, &RefusalError{After: d.After, Reason: d.Reason}
 	}
 	reservation := &Reservation{
-		Server: d.Server, Address: d.Address, Born: d.Born, Coordinator: vm, Waited: d.Waited, Expected: d.Expected,
+		Server: d.Server, Address: d.Address, Born: d.Born, Coordinator: vm, Waited: d.Waited, Expected: d.Expected, watched: d.Watched,
 		client: c, service: service, request: r, start: time.Now(), yield: make(chan struct{}),
 	}
 	c.mu.Lock()
