Know the bans before deciding, end banned streams, bound the rows of bans

A VM that starts counts as ready, and takes links of other VMs, only once it has read the bans, as it does for servers. A stream that broke off and is banned meanwhile ends at once instead of asking for a server until its deadline. The ban that is evicted when there are 500 is lifted, so that its row goes too. guavaridge_bans counts the bans in force.

--- a/core/guavapoison/ban.go
+++ b/core/guavapoison/ban.go
@@ -167,6 +167,19 @@
 	return list
 }
 
+// Active returns the number of bans that refuse requests.
+func (t *CrashTracker) Active(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, b := range t.bans {
+		if b.active(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Merge adopts bans of other VMs that are newer than those that this one knows, and returns them.
 func (t *CrashTracker) Merge(now time.Time, list []Ban) (adopted []Ban) {
 	t.mu.Lock()
@@ -292,7 +305,8 @@
 	return list
 }
 
-// insert adds a ban. If there are maxBans, the one that ends first is evicted.
+// insert adds a ban. If there are maxBans, the one that ends first is lifted and evicted, so that its row in the store goes
+// too.
 func (t *CrashTracker) insert(now time.Time, b *ban) {
 	if len(t.bans) >= maxBans {
 		var first *ban
@@ -301,6 +315,9 @@
 				first = other
 			}
 		}
+		if !first.Lifted {
+			t.lift(now, first)
+		}
 		t.remove(first)
 	}
 	t.bans[b.ID()] = b
--- a/io/guavacoord/ban.go
+++ b/io/guavacoord/ban.go
@@ -40,6 +40,9 @@
 // OnBans sets the function that receives the bans that this VM has changed, for the store. It is called before Run.
 func (c *Client) OnBans(save func(list []guavapoison.Ban)) { c.saveBans = save }
 
+// Bans returns the number of bans that refuse requests.
+func (c *Client) Bans() int { return c.crashes.Active(time.Now()) }
+
 // MergeBans adopts the bans of the store. Those that are new to this VM are sent to other VMs.
 func (c *Client) MergeBans(list []guavapoison.Ban) { c.mergeBans(nil, list) }
 
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -217,7 +217,7 @@
 		return false
 	default:
 	}
-	for _, f := range [...]*guavaview.Follower{e.config, e.servers} {
+	for _, f := range [...]*guavaview.Follower{e.config, e.servers, e.bans} {
 		select {
 		case <-f.Ready():
 		default:
@@ -313,10 +313,10 @@
 	}
 }
 
-// servePeers accepts links of other VMs once the configuration, servers and VMs are known, so that this VM makes no
+// servePeers accepts links of other VMs once the configuration, servers, VMs and bans are known, so that this VM makes no
 // decision for a peer without them.
 func (e *Edge) servePeers(ctx context.Context, ln net.Listener) {
-	for _, f := range [...]*guavaview.Follower{e.config, e.servers, e.vms} {
+	for _, f := range [...]*guavaview.Follower{e.config, e.servers, e.vms, e.bans} {
 		select {
 		case <-f.Ready():
 		case <-ctx.Done():
--- a/io/guavaedge/metrics.go
+++ b/io/guavaedge/metrics.go
@@ -132,6 +132,7 @@
 		}},
 		{"guavaridge_servers", "backend servers known", func() int64 { return int64(e.registry.servers.Load().Len()) }},
 		{"guavaridge_vms", "VMs known", func() int64 { return int64(len(e.registry.list())) }},
+		{"guavaridge_bans", "bans of requests that crash servers", func() int64 { return int64(e.client.Bans()) }},
 		{"guavaridge_goroutines", "goroutines of the process", func() int64 { return int64(runtime.NumGoroutine()) }},
 	}
 	for _, g := range gauges {
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -279,6 +279,9 @@
 		if c.replacement != nil {
 			continue
 		}
+		if isBanned(err) {
+			return fmt.Errorf("stream not resumed: %w: %w: %w", errNoServer, err, cause)
+		}
 		// The servers before may serve again, among them one that was only silent.
 		if refusal := (*guavacoord.RefusalError)(nil); errors.As(err, &refusal) {
 			c.avoid = nil
@@ -290,6 +293,12 @@
 	return fmt.Errorf("stream not resumed: %w: %w", errNoAttemptsLeft, cause)
 }
 
+// isBanned reports whether a reservation was refused because the request crashes servers.
+func isBanned(err error) bool {
+	refusal := (*guavacoord.RefusalError)(nil)
+	return errors.As(err, &refusal) && refusal.Reason == guavaplace.CrashReason
+}
+
 // resumeOn sends the request for the rest of the stream to the server of a reservation.
 func (s *stream) resumeOn(reservation *guavacoord.Reservation) error {
 	c := s.call
