Try bans of parts that had answers before after two seconds

A VM that was started lately had not seen the part answered, three servers crashed in a row, and the crashes were confirmed.

A ban of parts that had answers before is now tried after 2 s, then 8 and 32 s, with the same limit of three trials; its limit of lost runs is five. A VM that knows the parts of a ban as sound shortens the ban of one that does not. After the last trial a ban is tried once a day, not each 30 days.

--- a/core/guavapoison/ban.go
+++ b/core/guavapoison/ban.go
@@ -17,8 +17,11 @@
 	maxTrials = 3
 	// trialBackoff is the factor between the times for which a ban is in force after successive trials.
 	trialBackoff = 4
-	// finalTTL is the time for which a ban is in force after the last trial.
-	finalTTL = 30 * 24 * time.Hour
+	// soundBanTTL is the first time for which parts are banned that had answers before: when most servers fail, a part of
+	// most requests is lost several times in a row, and a ban of it refuses most requests.
+	soundBanTTL = 2 * time.Second
+	// finalTTL is the time for which a ban is in force after the last trial, and each further one.
+	finalTTL = 24 * time.Hour
 	// repeatTrialDelay is the time until the next trial after one that did not run or whose outcome is unknown.
 	repeatTrialDelay = 2 * time.Second
 )
@@ -31,6 +34,8 @@
 	Trials int
 	// Confirmed is true if the servers of the lost runs are known to have terminated. Other bans are short.
 	Confirmed bool
+	// Sound is true if all traits are parts of requests that were answered before. Such bans are tried soon.
+	Sound bool
 	// Changed is the time of the last change. Of two states of a ban the one that was changed last holds.
 	Changed time.Time
 	// Lifted bans refuse nothing: a request with their traits was answered.
@@ -117,7 +122,10 @@
 		return finalTTL
 	}
 	ttl := confirmWindow
-	if b.Confirmed {
+	switch {
+	case b.Sound:
+		ttl = soundBanTTL
+	case b.Confirmed:
 		ttl = refusalTTL
 	}
 	for range b.Trials {
@@ -180,7 +188,8 @@
 	return n
 }
 
-// Merge adopts bans of other VMs that are newer than those that this one knows, and returns them.
+// Merge adopts bans of other VMs that are newer than those that this one knows, and returns them. It shortens those of parts
+// that this VM knows to be sound and the other one did not, since it had been started lately.
 func (t *CrashTracker) Merge(now time.Time, list []Ban) (adopted []Ban) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -198,9 +207,20 @@
 		}
 		adopted = append(adopted, n)
 	}
+	for _, n := range adopted {
+		if b := t.bans[n.ID()]; b != nil && b.active(now) && !b.Sound && b.Trials == 0 && t.allSound(b.Traits) {
+			b.Sound = true
+			t.renew(now, b, min(b.Until.Sub(now), soundBanTTL))
+		}
+	}
 	return adopted
 }
 
+// allSound reports whether all traits are parts of requests that were answered.
+func (t *CrashTracker) allSound(traits []uint64) bool {
+	return !slices.ContainsFunc(traits, func(trait uint64) bool { return !t.sound.contains(trait) })
+}
+
 // Lift lifts the ban with an ID, as an operator orders it.
 func (t *CrashTracker) Lift(now time.Time, id uint64) {
 	t.mu.Lock()
@@ -220,7 +240,7 @@
 	if b.Lifted {
 		b.Trials, b.Confirmed, b.Lifted = 0, false, false
 	}
-	b.since, b.losses = losses[0].Began, slices.Clone(losses)
+	b.since, b.losses, b.Sound = losses[0].Began, slices.Clone(losses), t.allSound(traits)
 	t.renew(now, b, max(b.ttl(), b.Until.Sub(now)))
 	t.confirm(now, b)
 }
--- a/core/guavapoison/crash_tracker.go
+++ b/core/guavapoison/crash_tracker.go
@@ -12,7 +12,7 @@
 	crashLimit = 3
 	// soundCrashLimit is the limit for a part of requests that were answered before: when many servers fail, requests with
 	// a common part lose several runs in a row.
-	soundCrashLimit = 6
+	soundCrashLimit = 5
 	// soundCrashSpan is the minimum time between the first and the last lost run for such a part. A server that resets
 	// connections loses several runs within milliseconds, before another one can have answered.
 	soundCrashSpan = time.Second
--- a/io/guavacoord/ban.go
+++ b/io/guavacoord/ban.go
@@ -15,7 +15,7 @@
 	for _, b := range list {
 		m.List = append(m.List, ban{
 			Content: b.ID(), Left: max(b.Until.Sub(now), 0), Traits: b.Traits, Trials: b.Trials, Confirmed: b.Confirmed,
-			Changed: b.Changed.UnixMilli(), Lifted: b.Lifted,
+			Sound: b.Sound, Changed: b.Changed.UnixMilli(), Lifted: b.Lifted,
 		})
 	}
 	return m
@@ -26,7 +26,7 @@
 	list := make([]guavapoison.Ban, 0, len(m.List))
 	for _, b := range m.List {
 		n := guavapoison.Ban{
-			Traits: b.Traits, Until: now.Add(b.Left), Trials: b.Trials, Confirmed: b.Confirmed,
+			Traits: b.Traits, Until: now.Add(b.Left), Trials: b.Trials, Confirmed: b.Confirmed, Sound: b.Sound,
 			Changed: time.UnixMilli(b.Changed), Lifted: b.Lifted,
 		}
 		if len(n.Traits) == 0 {
@@ -62,6 +62,7 @@
 	}
 	c.logBans(now, adopted)
 	c.mesh.Broadcast(from, encodeBans(now, adopted))
+	c.publishBans(c.crashes.TakeChanges())
 }
 
 // publishBans sends bans that this VM has changed to the other VMs and to the store.
--- a/io/guavacoord/message.go
+++ b/io/guavacoord/message.go
@@ -63,6 +63,7 @@
 	Traits    []uint64
 	Trials    int
 	Confirmed bool
+	Sound     bool
 	Changed   int64 // Unix time in milliseconds
 	Lifted    bool
 }
