--- a/io/guavacoord/ban.go
+++ b/io/guavacoord/ban.go
@@ -89,6 +89,6 @@
 			continue
 		}
 		c.logger.Warn("request crashes servers", "content", strings.Join(traits, ","), "refused",
-			b.Until.Sub(now).Milliseconds(), "confirmed", b.Confirmed, "trials", b.Trials)
+			b.Until.Sub(now).Milliseconds(), "confirmed", b.Confirmed, "sound", b.Sound, "trials", b.Trials)
 	}
 }
