--- a/core/guavapoison/crash_tracker.go
+++ b/core/guavapoison/crash_tracker.go
@@ -180,7 +180,7 @@
 }
 
 // culprits returns the parts of a loss that explain it best and have reached their limits; none if there are no such
-// parts. Parts without a recent answer come first, then those with the most crashes. A part of one request only, which is
+// parts. Parts that had no answer come first, then those with the most crashes. A part of one request only, which is
 // repeated, is no better explanation than the request.
 func (t *CrashTracker) culprits(l *loss) []uint64 {
 	parts := make([]uint64, 0, len(l.Parts))
