Test the trial of a lapsed ban in the scheduler

TestTrialOfLapsedBan: one request runs, others and items are refused beside it, a request without a slot uses up no trial, and an answer lifts the ban.

--- a/core/guavaplace/crash_test.go
+++ b/core/guavaplace/crash_test.go
@@ -119,3 +119,30 @@
 		})
 	}
 }
+
+// TestTrialOfLapsedBan guards against several requests that are sent when a ban lapses, also from the queue, and against a ban that
+// lasts because the one request that was chosen found no slot.
+func TestTrialOfLapsedBan(t *testing.T) {
+	crashes := guavapoison.NewCrashTracker()
+	s := guavaplace.New(crashes)
+	s.SetServers(epoch, servers(1, 2), guavatraffic.Service{Name: "m"})
+	crashes.Merge(epoch, []guavapoison.Ban{{Traits: []uint64{9}, Until: at(time.Minute), Changed: epoch}})
+	request := func(n uint64) guavaplace.Request {
+		r := online(n)
+		r.Content, r.Parts = 100+n, []uint64{9}
+		r.Start, r.Patience = 3*time.Second, 3*time.Second
+		return r
+	}
+	want(t, "during the ban", s.Submit(epoch, request(1)), "1 refuse")
+	want(t, "first slot", s.Submit(at(time.Minute), online(2)), "2 run")
+	want(t, "second slot", s.Submit(at(time.Minute), online(3)), "3 run")
+	want(t, "without a slot", s.Submit(at(time.Minute), request(4)), "4 refuse")
+	s.Release(at(time.Minute), guavaplace.Report{Key: online(2).Key, Outcome: guavaplace.Done})
+	want(t, "trial", s.Submit(at(time.Minute), request(5)), "5 run")
+	want(t, "beside the trial", s.Submit(at(time.Minute), request(6)), "6 refuse")
+	item := batch(7, 18*time.Second)
+	item.Parts = []uint64{9}
+	want(t, "item beside the trial", s.Submit(at(time.Minute), item), "7 refuse")
+	s.Release(at(61*time.Second), guavaplace.Report{Key: request(5).Key, Outcome: guavaplace.Done, Begun: true})
+	want(t, "after an answer", s.Submit(at(61*time.Second), request(8)), "8 run")
+}
