Look at the sends of an outage before it ends

The test ended the outage first and read the times of the sends then, without the lock, while the owner sent the next items, as it may. It now takes a copy of them, under the lock, before the outage ends, and wants some. The check covers the same span. TestCancel reads them under the lock too.

The product is not changed.

--- a/io/guavabatch/cancel_test.go
+++ b/io/guavabatch/cancel_test.go
@@ -33,7 +33,7 @@
 					return
 				}
 				ended := f.wait(b, job.ID, 2*time.Minute)
-				for item, at := range f.servers.lastSent {
+				for item, at := range f.servers.lastSends() {
 					if at.Sub(cancelled) > 3*time.Second {
 						t.Errorf("item %s was sent %s after the cancellation", item, at.Sub(cancelled))
 					}
--- a/io/guavabatch/fake_test.go
+++ b/io/guavabatch/fake_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"strings"
 	"sync"
 	"testing"
@@ -52,6 +53,13 @@
 	}
 }
 
+// lastSends returns a copy of the times of the last send of each item.
+func (s *servers) lastSends() map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.lastSent)
+}
+
 func (s *servers) Do(ctx context.Context, a guavaback.Attempt, sink guavaback.Sink) (guavaback.Response, error) {
 	var body struct {
 		Item string `json:"item"`
--- a/io/guavabatch/loss_test.go
+++ b/io/guavabatch/loss_test.go
@@ -218,8 +218,12 @@
 		f.platform.SetDown(true)
 		down := time.Now()
 		time.Sleep(5 * time.Minute)
+		sends := f.servers.lastSends() // those after the outage are allowed
 		f.platform.SetDown(false)
-		for item, at := range f.servers.lastSent {
+		if len(sends) == 0 {
+			t.Error("no item was sent before the outage")
+		}
+		for item, at := range sends {
 			if at.Sub(down) > 30*time.Second {
 				t.Errorf("item %s was sent %s into the outage, want at most 30 s", item, at.Sub(down))
 			}
