--- a/review/_standin/lost.go
+++ b/review/_standin/lost.go
@@ -75,7 +75,7 @@
 		streams.Wait()
 	})
 	time.Sleep(time.Until(begin.Add(4500 * time.Millisecond)))
-	first := c.newJob(8)
+	first := c.newJob(14)
 	f.mu.Lock()
 	for _, i := range first.items {
 		f.items[i] = true
