--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -52,6 +52,7 @@
 	restarts sync.WaitGroup
 
 	mu       sync.Mutex
+	stopped  bool // no process is started any more
 	arrivals []*arrival
 	sent     map[string]time.Time // when requests of the account under its cap were sent, by ID
 }
@@ -144,6 +145,11 @@
 }
 
 func (c *cluster) start(v *vm) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return errors.New("the case has ended")
+	}
 	log, err := os.OpenFile(filepath.Join(c.folder, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -215,7 +221,9 @@
 
 // stop ends all processes that the cluster started.
 func (c *cluster) stop() {
-	c.restarts.Wait()
+	c.mu.Lock()
+	c.stopped = true
+	c.mu.Unlock()
 	for _, v := range c.vms {
 		v.mu.Lock()
 		command, exited := v.command, v.exited
@@ -225,6 +233,7 @@
 			<-exited
 		}
 	}
+	c.restarts.Wait()
 	if os.Getenv("KEEP_LOGS") == "" {
 		_ = os.RemoveAll(c.folder)
 	}
