Don't count malformed answers as crashes of servers

Callers and items saw: sound requests with a prompt part got 503 on all VMs, and items with it were held back, after servers had sent three times something that is no answer to a request with the part.

Cause: each failed exchange other than a time-out counted as a lost connection, which a server that crashes causes. Bytes that are no response, responses to other requests, complete responses without an event and events out of order counted too, though a server that crashes sends none of them. A silence in the body of an item's response counted as a lost connection as well.

Change: guavasend.Outcome tells the outcomes of failed exchanges apart for requests and items alike. The new outcome Malformed counts against the server as before, but not against the request.

--- a/core/guavaplace/breaker.go
+++ b/core/guavaplace/breaker.go
@@ -107,6 +107,6 @@
 		if s != nil {
 			s.fail(now)
 		}
-	case Cancelled, ConnectionLost, TimedOut:
+	case Cancelled, ConnectionLost, TimedOut, Malformed:
 	}
 }
--- a/core/guavaplace/crash.go
+++ b/core/guavaplace/crash.go
@@ -31,7 +31,7 @@
 		s.crashes.RecordLost(now, x, o == TimedOut)
 	case o == Unreachable, o == Misdirected, o == Shed:
 		s.crashes.RecordUndecided(now, x, false)
-	case o == Cancelled:
+	case o == Cancelled, o == Malformed:
 		s.crashes.RecordUndecided(now, x, true)
 	}
 }
--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -113,6 +113,8 @@
 	ConnectionLost Outcome = "broken"
 	// TimedOut means that no byte of a response arrived in time.
 	TimedOut Outcome = "silent"
+	// Malformed means that the server sent something that is no response to the request. It says nothing about the request.
+	Malformed Outcome = "malformed"
 	// Failed means that the server responded with a server error.
 	Failed Outcome = "failed"
 )
--- a/core/guavaplace/server.go
+++ b/core/guavaplace/server.go
@@ -194,9 +194,9 @@
 	case Shed:
 		// The server is assumed to be filled by requests that this scheduler did not send, until its next load report.
 		s.foreignLoad, s.loadReportedAt = max(s.foreignLoad, s.slots()-len(s.runs)), now
-	case Unreachable, ConnectionLost, TimedOut, Misdirected:
+	case Unreachable, ConnectionLost, TimedOut, Misdirected, Malformed:
 		// A server that stops interrupts all of its runs at once, which counts as one failure.
-		if (o == ConnectionLost || o == TimedOut) && !r.startedAt.Before(s.lastConnectionLoss) {
+		if (o == ConnectionLost || o == TimedOut || o == Malformed) && !r.startedAt.Before(s.lastConnectionLoss) {
 			s.failureRatio.add(true)
 			s.errorRatio.add(false)
 			s.lastConnectionLoss = now
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -203,6 +203,18 @@
 	return x, err //nolint:wrapcheck // handleSendError unwraps it
 }
 
+// outcome returns the outcome of an attempt that failed with err.
+func (c *call) outcome(err error) guavaplace.Outcome {
+	switch outcome := guavasend.Outcome(err); {
+	case c.runCtx.Err() != nil:
+		return guavaplace.Cancelled
+	case outcome != guavaplace.Unreachable && errors.Is(err, errSilent):
+		return guavaplace.TimedOut
+	default:
+		return outcome
+	}
+}
+
 // handleSendError handles a failed exchange and returns whether to retry on another server.
 func (c *call) handleSendError(reservation *guavacoord.Reservation, err error) bool {
 	var failure *guavasend.Error
@@ -210,16 +222,7 @@
 		failure = &guavasend.Error{Sent: true, Err: err}
 	}
 	ended := c.runCtx.Err() != nil
-	switch {
-	case ended:
-		reservation.Release(guavaplace.Cancelled, 0)
-	case !failure.Sent:
-		reservation.Release(guavaplace.Unreachable, 0)
-	case errors.Is(err, errSilent):
-		reservation.Release(guavaplace.TimedOut, 0)
-	default:
-		reservation.Release(guavaplace.ConnectionLost, 0)
-	}
+	reservation.Release(c.outcome(err), 0)
 	switch {
 	case errors.Is(err, errDisconnected):
 		c.callerDisconnected()
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -99,7 +99,7 @@
 var errNoEvents = errors.New("stream without events")
 
 // errNotContinued means that a server that was asked for the rest of a stream sent something else.
-var errNotContinued = errors.New("not the rest of the stream")
+var errNotContinued = fmt.Errorf("not the rest of the stream: %w", guavasend.ErrMalformed)
 
 // errInsideEvent means that a stream ended inside an event, so that its server has broken it off. Without a length or chunks
 // that looks like the end of a complete response.
@@ -193,7 +193,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && s.received == 0:
-			return errNoEvents
+			return s.noEvents()
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(s.splitter.Rest())) > 0:
 			return s.fail(errInsideEvent)
 		case errors.Is(err, io.EOF):
@@ -208,6 +208,14 @@
 	return nil
 }
 
+// noEvents returns the error of a response without events.
+func (s *stream) noEvents() error {
+	if s.exchange.IsDelimited() {
+		return fmt.Errorf("%w: %w", errNoEvents, guavasend.ErrMalformed) // complete, so the server has not crashed
+	}
+	return errNoEvents
+}
+
 // fail records that the exchange has failed. The error is returned at once if no events are left to relay before it.
 func (s *stream) fail(err error) error {
 	s.readErr = err
@@ -249,11 +257,8 @@
 		s.reservation.Release(guavaplace.Cancelled, 0)
 		return fmt.Errorf("request ended during the stream: %w: %w", context.Cause(c.runCtx), cause)
 	}
-	outcome := guavaplace.ConnectionLost
-	switch {
-	case errors.Is(cause, errNotContinued):
-		outcome = guavaplace.Failed
-	case c.replacement != nil:
+	outcome := c.outcome(cause)
+	if c.replacement != nil && outcome == guavaplace.ConnectionLost {
 		outcome = guavaplace.TimedOut
 	}
 	s.reservation.Release(outcome, 0)
@@ -304,16 +309,7 @@
 	c := s.call
 	x, err := c.send(reservation, s.lastEventID, guavasilence.ResumedHeaders)
 	if err != nil {
-		outcome := guavaplace.ConnectionLost
-		var failure *guavasend.Error
-		switch {
-		case c.runCtx.Err() != nil:
-			outcome = guavaplace.Cancelled
-		case errors.As(err, &failure) && !failure.Sent:
-			outcome = guavaplace.Unreachable
-		case errors.Is(err, errSilent):
-			outcome = guavaplace.TimedOut
-		}
+		outcome := c.outcome(err)
 		reservation.Release(outcome, 0)
 		if outcome != guavaplace.Unreachable {
 			c.executions++
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -49,7 +49,11 @@
 	expectedOutputShare = 0.8
 )
 
-var errPreempted = errors.New("item preempted by an online request")
+var (
+	errPreempted = errors.New("item preempted by an online request")
+	// errNoStream means that a complete response is not a stream of complete events.
+	errNoStream = errors.New("not a stream of events")
+)
 
 // objectSuffix returns an item's ID in a form that is valid in an object name: at most 64 characters, others than
 // letters, digits and hyphens replaced by underscores.
@@ -301,7 +305,7 @@
 				continue
 			}
 			if err := r.addEvent(e); err != nil {
-				return fmt.Errorf("receive event %d after %d: %w", e.ID, r.progress.LastEvent(), err)
+				return fmt.Errorf("receive event %d after %d: %w", e.ID, r.progress.LastEvent(), errors.Join(guavasend.ErrMalformed, err))
 			}
 		}
 		if err := x.Hold(s.Pending()); err != nil {
@@ -321,6 +325,8 @@
 		switch {
 		case errors.Is(err, io.EOF) && s.Pending() == 0 && r.progress.Events() > start:
 			return nil
+		case errors.Is(err, io.EOF) && x.IsDelimited():
+			return fmt.Errorf("%w: %w", guavasend.ErrMalformed, errNoStream)
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
 		case err != nil:
@@ -334,26 +340,19 @@
 	attempt context.Context, reservation *guavacoord.Reservation, err error, before int,
 ) (guavaprogress.Action, string) {
 	l := r.runner.jobs
-	var failure *guavasend.Error
-	sent := !errors.As(err, &failure) || failure.Sent
-	switch cause := context.Cause(attempt); {
-	case errors.Is(cause, errPreempted):
-		reservation.Release(guavaplace.Cancelled, 0)
-		l.Counters.Yields.Add(1)
-		return guavaprogress.Retry, ""
-	case cause != nil:
+	if cause := context.Cause(attempt); cause != nil {
 		reservation.Release(guavaplace.Cancelled, 0)
+		if errors.Is(cause, errPreempted) {
+			l.Counters.Yields.Add(1)
+		}
 		return guavaprogress.Retry, ""
-	case !sent:
-		reservation.Release(guavaplace.Unreachable, 0)
-		r.avoid = []string{reservation.Server}
-		return guavaprogress.Retry, ""
-	case failure != nil && failure.TimedOut:
-		reservation.Release(guavaplace.TimedOut, 0)
-	default:
-		reservation.Release(guavaplace.ConnectionLost, 0)
 	}
+	outcome := guavasend.Outcome(err)
+	reservation.Release(outcome, 0)
 	r.avoid = []string{reservation.Server}
+	if outcome == guavaplace.Unreachable {
+		return guavaprogress.Retry, ""
+	}
 	l.Counters.Resumed.Add(1)
 	r.logEnd(r.runner.job, reservation, "broken", err.Error())
 	return r.recordCrash(r.progress.Events() - before), "servers broke off"
--- a/io/guavasend/sender.go
+++ b/io/guavasend/sender.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavaridge/core/guavabudget"
+	"guavaridge/core/guavaplace"
 	"guavaridge/io/guavapool"
 )
 
@@ -35,6 +37,9 @@
 // ErrOverBudget means that a server has sent more than fits into the memory that the VM uses for responses.
 var ErrOverBudget = errors.New("response exceeds the memory for responses")
 
+// ErrMalformed means that a server has sent something that is no response to the request, or no part of one.
+var ErrMalformed = errors.New("malformed response")
+
 // Error is a failed exchange.
 type Error struct {
 	// Sent reports whether bytes of the request may have reached the server.
@@ -50,6 +55,40 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// Outcome returns the outcome of a run whose exchange has failed with err. Only a connection that was lost without the
+// server's doing otherwise, or a silence, may come from a server that crashed on the request.
+func Outcome(err error) guavaplace.Outcome {
+	var failure *Error
+	switch isError := errors.As(err, &failure); {
+	case isError && !failure.Sent:
+		return guavaplace.Unreachable
+	case isTimeout(err):
+		return guavaplace.TimedOut
+	case errors.Is(err, ErrMalformed), errors.Is(err, ErrOverBudget):
+		return guavaplace.Malformed
+	}
+	return guavaplace.ConnectionLost
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// readError returns the error of a failed read of a response. It wraps ErrMalformed if the connection did not end, so that the
+// bytes were no part of a response.
+func readError(err error) error {
+	var network net.Error
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.ErrClosedPipe), errors.Is(err, net.ErrClosed),
+		errors.As(err, &network), isTimeout(err):
+		return err
+	case strings.HasSuffix(err.Error(), io.EOF.Error()): // fasthttp.ErrBrokenChunk hides the error that it holds
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrMalformed, err)
+}
+
 // Request is a request and the rules for sending it.
 type Request struct {
 	Address string
@@ -148,8 +187,7 @@
 	if len(r.Message.Body()) > largeBody {
 		err = errors.Join(err, <-x.writeDone) // the message may be sent again, so its first write has to end before
 	}
-	var timeout interface{ Timeout() bool }
-	timedOut := errors.As(err, &timeout) && timeout.Timeout()
+	timedOut := isTimeout(err)
 	if ctx.Err() != nil {
 		err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 	}
@@ -168,12 +206,15 @@
 	if err := x.SetReadTimeout(r.HeaderTimeout); err != nil {
 		return err
 	}
-	for range maxForeignResponses {
+	for skipped := range maxForeignResponses {
 		x.Response = fasthttp.AcquireResponse()
 		x.Response.Header.SetNoDefaultContentType(true)
 		x.Response.StreamBody = true
 		x.Response.SkipBody = string(r.Message.Header.Method()) == fasthttp.MethodHead
 		if err := x.Response.ReadLimitBody(x.conn.Reader, 0); err != nil {
+			if err = readError(err); skipped > 0 {
+				err = fmt.Errorf("%w: after a response to another request: %w", ErrMalformed, err)
+			}
 			return fmt.Errorf("read response headers from %s: %w", r.Address, err)
 		}
 		if r.ID == "" || string(x.Response.Header.Peek(r.IDHeader)) == r.ID {
@@ -183,15 +224,15 @@
 		// This is a late response to an earlier request on the connection; that to r follows.
 		n, err := io.Copy(io.Discard, io.LimitReader(x.body(), maxForeignSize+1))
 		if err == nil && n > maxForeignSize {
-			err = fmt.Errorf("more than %d bytes", maxForeignSize)
+			err = fmt.Errorf("%w: more than %d bytes", ErrMalformed, maxForeignSize)
 		}
 		if err != nil {
-			return fmt.Errorf("skip a late response from %s: %w", r.Address, err)
+			return fmt.Errorf("skip a late response from %s: %w", r.Address, readError(err))
 		}
 		fasthttp.ReleaseResponse(x.Response)
 		x.Response = nil
 	}
-	return fmt.Errorf("responses from %s belong to other requests", r.Address)
+	return fmt.Errorf("%w: responses from %s belong to other requests", ErrMalformed, r.Address)
 }
 
 func (x *Exchange) write(q *fasthttp.Request) error {
@@ -264,11 +305,15 @@
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.body().Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
-		return n, fmt.Errorf("read body from %s: %w", x.address, err)
+		return n, fmt.Errorf("read body from %s: %w", x.address, readError(err))
 	}
 	return n, err //nolint:wrapcheck // io.Reader wants io.EOF itself
 }
 
+// IsDelimited reports whether the response has a length or chunks, so that the end of its body shows that it is complete. It
+// may be called before Finish and Close only.
+func (x *Exchange) IsDelimited() bool { return x.Response.Header.ContentLength() >= -1 }
+
 // Finish returns the connection to the pool after the body has been read completely.
 func (x *Exchange) Finish() {
 	closes := x.Response.ConnectionClose() || x.Response.Header.ContentLength() < -1
