End streams and items whose last event has arrived but not the end

Cause: such a response is resumed after its last event. A server then answers with a complete response without events, which was taken for a server that broke off: the item was sent again each second, and each answer counted as a crash of its part.

Change: an empty rest with a length or chunks ends a stream, unless a part of a further event has arrived.

--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -167,7 +167,7 @@
 	}
 	s.removeRun(r)
 	elapsed := now.Sub(r.startedAt)
-	if p.Outcome == Done && elapsed > 0 && !r.silent {
+	if p.Outcome == Done && elapsed > 0 && !r.silent && (p.Work > 0 || r.request.Class == Online) {
 		e := s.estimate(r.request.Class)
 		expected := e.duration(r.request.Work)
 		if p.Work > 0 && e.secondsPerToken.known {
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -206,7 +206,7 @@
 // outcome returns the outcome of an attempt that failed with err.
 func (c *call) outcome(err error) guavaplace.Outcome {
 	switch outcome := guavasend.Outcome(err); {
-	case c.runCtx.Err() != nil:
+	case c.runCtx.Err() != nil, errors.Is(err, errNoRest):
 		return guavaplace.Cancelled
 	case outcome != guavaplace.Unreachable && errors.Is(err, errSilent):
 		return guavaplace.TimedOut
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -95,9 +95,13 @@
 	errNoServer       = errors.New("no server for the rest")
 )
 
-// errNoEvents means that a stream ended before its first event. No request causes that, so the server has failed.
+// errNoEvents means that a stream ended before its first event, though it is not known that there is none.
 var errNoEvents = errors.New("stream without events")
 
+// errNoRest means that a server that was asked for the rest of a stream ended its response without an event, and without a
+// length or chunks. It has either broken it off or there is no rest.
+var errNoRest = errors.New("no rest of the stream")
+
 // errNotContinued means that a server that was asked for the rest of a stream sent something else.
 var errNotContinued = fmt.Errorf("not the rest of the stream: %w", guavasend.ErrMalformed)
 
@@ -117,6 +121,7 @@
 	events      int
 	received    int  // events of the current exchange
 	continued   bool // the current exchange continues the stream of an earlier one
+	partial     bool // a part of the event after the last one has arrived, so that the stream goes on
 	lastEventAt time.Time
 	buffer      []byte
 	done        bool
@@ -191,8 +196,11 @@
 		if holdErr := s.exchange.Hold(s.splitter.Pending()); holdErr != nil {
 			err = holdErr
 		}
+		if err != nil && len(bytes.TrimSpace(s.splitter.Rest())) > 0 {
+			s.partial = true
+		}
 		switch {
-		case errors.Is(err, io.EOF) && s.received == 0:
+		case errors.Is(err, io.EOF) && s.received == 0 && !s.isWholeRest():
 			return s.noEvents()
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(s.splitter.Rest())) > 0:
 			return s.fail(errInsideEvent)
@@ -208,10 +216,19 @@
 	return nil
 }
 
+// isWholeRest reports whether a response without events is the rest of a stream all of whose events had arrived before. The
+// response needs a length or chunks: others may have been broken off before their first event.
+func (s *stream) isWholeRest() bool {
+	return s.lastEventID >= 0 && !s.partial && s.exchange.IsDelimited()
+}
+
 // noEvents returns the error of a response without events.
 func (s *stream) noEvents() error {
-	if s.exchange.IsDelimited() {
+	switch {
+	case s.exchange.IsDelimited():
 		return fmt.Errorf("%w: %w", errNoEvents, guavasend.ErrMalformed) // complete, so the server has not crashed
+	case s.lastEventID >= 0:
+		return errNoRest
 	}
 	return errNoEvents
 }
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -51,6 +51,8 @@
 
 var (
 	errPreempted = errors.New("item preempted by an online request")
+	// errEmptyRest means that a response to a request for the rest of an item has ended without an event.
+	errEmptyRest = errors.New("no event after the last one")
 	// errNoStream means that a complete response is not a stream of complete events.
 	errNoStream = errors.New("not a stream of events")
 )
@@ -120,6 +122,24 @@
 	return r.progress.RecordCrash(events)
 }
 
+func (r *itemRun) recordEmptyRest(delimited bool) guavaprogress.Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.progress.RecordEmptyRest(delimited)
+}
+
+func (r *itemRun) recordWrongRest() guavaprogress.Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.progress.RecordWrongRest()
+}
+
+func (r *itemRun) recordPartialEvent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress.RecordPartialEvent()
+}
+
 func (r *itemRun) addEvent(e guavaevent.Event) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -145,7 +165,7 @@
 		}
 		action, reason := r.send(ctx, reservation, job, expiry)
 		switch action {
-		case done:
+		case guavaprogress.Complete:
 			return guavaprogress.Result{ID: r.item.ID, State: guavaprogress.Succeeded, Text: r.progress.Text()}, true
 		case guavaprogress.GiveUp:
 			return r.giveUp(reason), true
@@ -224,9 +244,6 @@
 	return min(max(refusal.After, retryDelay), maxBannedDelay)
 }
 
-// done is the action after an attempt that completed the item.
-const done guavaprogress.Action = "done"
-
 // send sends the item to the reserved server, which resumes after the last event received, and returns what to do next.
 func (r *itemRun) send(
 	ctx context.Context, reservation *guavacoord.Reservation, j guavaprogress.Job, expiry time.Time,
@@ -251,11 +268,16 @@
 	status := x.Response.StatusCode()
 	if status == fasthttp.StatusOK {
 		err := r.receive(x, reservation)
-		if err == nil {
+		switch {
+		case err == nil:
 			x.Finish()
 			reservation.Release(guavaplace.Done, r.generatedTokens(j, before))
 			r.logEnd(j, reservation, "done", "")
-			return done, ""
+			return guavaprogress.Complete, ""
+		case errors.Is(err, errEmptyRest):
+			delimited := x.IsDelimited()
+			x.Finish()
+			return r.handleEmptyRest(reservation, delimited, j)
 		}
 		x.Close()
 		return r.handleFailure(attempt, reservation, &guavasend.Error{Sent: true, Err: err}, before)
@@ -322,9 +344,14 @@
 				return err //nolint:wrapcheck // it says that the deadline was not set
 			}
 		}
+		if err != nil && s.Pending() > 0 {
+			r.recordPartialEvent()
+		}
 		switch {
 		case errors.Is(err, io.EOF) && s.Pending() == 0 && r.progress.Events() > start:
 			return nil
+		case errors.Is(err, io.EOF) && s.Pending() == 0 && start > 0:
+			return errEmptyRest
 		case errors.Is(err, io.EOF) && x.IsDelimited():
 			return fmt.Errorf("%w: %w", guavasend.ErrMalformed, errNoStream)
 		case errors.Is(err, io.EOF):
@@ -335,6 +362,21 @@
 	}
 }
 
+// handleEmptyRest releases the reservation of an attempt that was to resume the item and got a response without an event, and
+// returns what to do next. Without a length or chunks, the response says nothing about the item or the server.
+func (r *itemRun) handleEmptyRest(
+	reservation *guavacoord.Reservation, delimited bool, j guavaprogress.Job,
+) (guavaprogress.Action, string) {
+	outcome := guavaplace.Done
+	if !delimited {
+		outcome = guavaplace.Cancelled
+	}
+	reservation.Release(outcome, 0)
+	r.logEnd(j, reservation, "empty", "")
+	r.avoid = []string{reservation.Server}
+	return r.recordEmptyRest(delimited), "no end of the stream"
+}
+
 // handleFailure releases the reservation of an attempt without a complete response, and returns what to do next.
 func (r *itemRun) handleFailure(
 	attempt context.Context, reservation *guavacoord.Reservation, err error, before int,
@@ -355,6 +397,9 @@
 	}
 	l.Counters.Resumed.Add(1)
 	r.logEnd(r.runner.job, reservation, "broken", err.Error())
+	if errors.Is(err, guavaprogress.ErrOutOfOrder) && r.progress.Events() == before {
+		return r.recordWrongRest(), "servers sent another part of the stream"
+	}
 	return r.recordCrash(r.progress.Events() - before), "servers broke off"
 }
 
