Hand over the results of items that are not stored yet

Cause: only the events of an item were saved at a handover, without the fact that they are all.

Change: saved progress holds the result of an item, whether it succeeded or was given up. The next owner only stores it. A handover saves until all progress is in the store.

--- a/core/guavaprogress/progress.go
+++ b/core/guavaprogress/progress.go
@@ -23,6 +23,9 @@
 	// all responses to them that brought no event.
 	emptyRests int
 	stalls     int
+	// state and reason are those of the item's result, once it has one.
+	state  State
+	reason string
 }
 
 // NewProgress returns the progress of an item without attempts.
@@ -35,18 +38,25 @@
 	Events   int    `json:"events"`
 	Failures int    `json:"failures"`
 	Partial  bool   `json:"partial,omitempty"`
+	// State and Reason are those of a result that is not stored yet.
+	State  State  `json:"state,omitempty"`
+	Reason string `json:"reason,omitempty"`
 }
 
 // IsValid reports whether a Progress can have this form.
 func (s SavedProgress) IsValid() bool {
 	// Events have consecutive numbers from 0 or above, and -1 stands for none.
-	return s.Failures >= 0 && s.Events >= 0 && s.Last >= s.Events-1 && (s.Events == 0) == (s.Last == -1)
+	if s.Failures < 0 || s.Events < 0 || s.Last < s.Events-1 || (s.Events == 0) != (s.Last == -1) {
+		return false
+	}
+	return s.State == "" || s.State == Dead || (s.State == Succeeded && s.Events > 0)
 }
 
 // Save returns the progress in the form in which it is stored.
 func (p *Progress) Save() SavedProgress {
 	return SavedProgress{
 		Text: string(p.text), Last: p.lastEvent, Events: p.events, Failures: p.failures, Partial: p.partial,
+		State: p.state, Reason: p.reason,
 	}
 }
 
@@ -54,6 +64,7 @@
 func Restore(s SavedProgress) *Progress {
 	return &Progress{
 		text: []byte(s.Text), lastEvent: s.Last, events: s.Events, failures: s.Failures, partial: s.Partial,
+		state: s.State, reason: s.Reason,
 	}
 }
 
@@ -88,6 +99,18 @@
 // RecordPartialEvent records that a part of the event after the last one has arrived.
 func (p *Progress) RecordPartialEvent() { p.partial = true }
 
+// Finish records the item's result: Succeeded with the text received, or Dead for a reason.
+func (p *Progress) Finish(s State, reason string) { p.state, p.reason = s, reason }
+
+// Result returns the result of the item with the ID, and whether it has one.
+func (p *Progress) Result(id string) (Result, bool) {
+	r := Result{ID: id, State: p.state, Reason: p.reason}
+	if p.state == Succeeded {
+		r.Text = string(p.text)
+	}
+	return r, p.state != ""
+}
+
 // Action is what to do with an item after a failed attempt.
 type Action string
 
--- a/core/guavaprogress/progress_test.go
+++ b/core/guavaprogress/progress_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"guavaridge/core/guavaprogress"
 )
 
@@ -65,3 +67,36 @@
 		}
 	}
 }
+
+// TestSavedResult guards against items that are executed again although their result was saved, and against a saved result
+// that differs.
+func TestSavedResult(t *testing.T) {
+	p := guavaprogress.NewProgress()
+	for i, data := range []string{"a", "b"} {
+		if err := p.AddEvent(i, []byte(data)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, ok := guavaprogress.Restore(p.Save()).Result("i"); ok {
+		t.Error("an item without a result has one after a restore")
+	}
+	p.Finish(guavaprogress.Succeeded, "")
+	s := p.Save()
+	got, ok := guavaprogress.Restore(s).Result("i")
+	want := guavaprogress.Result{ID: "i", State: guavaprogress.Succeeded, Text: "a\nb"}
+	if diff := cmp.Diff(want, got); !ok || !s.IsValid() || diff != "" {
+		t.Errorf("restored result, valid %t, present %t (-want +got):\n%s", s.IsValid(), ok, diff)
+	}
+	p.Finish(guavaprogress.Dead, "reason")
+	got, ok = guavaprogress.Restore(p.Save()).Result("i")
+	if diff := cmp.Diff(guavaprogress.Result{ID: "i", State: guavaprogress.Dead, Reason: "reason"}, got); !ok || diff != "" {
+		t.Errorf("restored result of an item that was given up, present %t (-want +got):\n%s", ok, diff)
+	}
+	for _, s := range []guavaprogress.SavedProgress{
+		{Last: -1, State: guavaprogress.Succeeded}, {Last: -1, State: "other"}, {Last: 3, Events: 5}, {Events: 1, Last: -1}, {Last: -1, Failures: -1},
+	} {
+		if s.IsValid() {
+			t.Errorf("%+v is valid", s)
+		}
+	}
+}
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -93,13 +93,13 @@
 	}
 }
 
-// unsaved returns the progress, and whether it is worth saving: it has at least minEvents new events, or another
-// failure, which limits the attempts of the VM that runs the item next.
+// unsaved returns the progress, and whether it is worth saving: it has at least minEvents new events, another failure, which
+// limits the attempts of the VM that runs the item next, or a result, which that VM only has to store.
 func (r *itemRun) unsaved(minEvents int) (guavaprogress.SavedProgress, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.progress.Save()
-	return s, s.Events >= r.saved.Events+minEvents || s.Failures > r.saved.Failures
+	return s, s.Events >= r.saved.Events+minEvents || s.Failures > r.saved.Failures || s.State != r.saved.State
 }
 
 // markSaved records that the store has this progress.
@@ -140,6 +140,15 @@
 	r.progress.RecordPartialEvent()
 }
 
+// finish records the item's result and returns it.
+func (r *itemRun) finish(s guavaprogress.State, reason string) guavaprogress.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress.Finish(s, reason)
+	result, _ := r.progress.Result(r.item.ID)
+	return result
+}
+
 func (r *itemRun) addEvent(e guavaevent.Event) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -148,6 +157,9 @@
 
 // run returns the item's result, or false if this VM stopped running the job before there was one.
 func (r *itemRun) run() (guavaprogress.Result, bool) {
+	if result, ok := r.progress.Result(r.item.ID); ok {
+		return result, true // the VM that ran the job before did not store it
+	}
 	ctx, job := r.runner.ctx, r.runner.job
 	expiry := time.UnixMilli(job.RetainedUntil).Add(retentionMargin)
 	for ctx.Err() == nil {
@@ -166,7 +178,7 @@
 		action, reason := r.send(ctx, reservation, job, expiry)
 		switch action {
 		case guavaprogress.Complete:
-			return guavaprogress.Result{ID: r.item.ID, State: guavaprogress.Succeeded, Text: r.progress.Text()}, true
+			return r.finish(guavaprogress.Succeeded, ""), true
 		case guavaprogress.GiveUp:
 			return r.giveUp(reason), true
 		case guavaprogress.RetryAfterDelay:
@@ -186,7 +198,7 @@
 
 func (r *itemRun) giveUp(reason string) guavaprogress.Result {
 	r.runner.jobs.Logger.Warn("item given up", "item", r.item.ID, "job", r.runner.job.ID, "cause", reason)
-	return guavaprogress.Result{ID: r.item.ID, State: guavaprogress.Dead, Reason: reason}
+	return r.finish(guavaprogress.Dead, reason)
 }
 
 // service returns the service to which the current configuration routes the item. It is false if the route was removed.
--- a/io/guavajobs/runner.go
+++ b/io/guavajobs/runner.go
@@ -95,7 +95,10 @@
 		case first := <-r.results:
 			batch = append(batch, first)
 		case <-save.C:
-			r.saveProgress(r.ctx, minSaveEvents)
+			// A failed save is not repeated, since the next one includes the same progress.
+			if _, err := r.saveProgress(r.ctx, minSaveEvents); err != nil {
+				r.jobs.Logger.Info("progress save failed", "error", err)
+			}
 			continue
 		case <-r.ctx.Done():
 			return
@@ -280,12 +283,11 @@
 	return ids, nil
 }
 
-// handOver stops the job on this VM, saves the progress of its items, and clears its owner so that another VM takes it
-// over.
+// handOver stops the job on this VM, saves the progress and the results of its items, and clears its owner so that another
+// VM takes it over.
 func (r *runner) handOver(ctx context.Context) {
 	r.cancel()
 	<-r.stopped
-	r.saveProgress(ctx, 1)
 	l := r.jobs
 	for {
 		r.mu.Lock()
@@ -294,7 +296,10 @@
 		if !e.job.IsOpen() || !e.job.IsOwnedBy(l.Self.Name, l.Self.Incarnation) {
 			return
 		}
-		_, err := l.write(ctx, e, e.job.WithOwner("", 0))
+		err := r.saveAll(ctx)
+		if err == nil {
+			_, err = l.write(ctx, e, e.job.WithOwner("", 0))
+		}
 		if err == nil {
 			l.Logger.Info("job handed over", "job", e.job.ID, "listed", e.job.ResultCount, "total", e.job.Total)
 			return
@@ -308,3 +313,12 @@
 		}
 	}
 }
+
+// saveAll saves the progress of all items, in as many commits as it takes.
+func (r *runner) saveAll(ctx context.Context) error {
+	for {
+		if more, err := r.saveProgress(ctx, 1); err != nil || !more {
+			return err
+		}
+	}
+}
--- a/io/guavajobs/save.go
+++ b/io/guavajobs/save.go
@@ -25,9 +25,9 @@
 )
 
 // saveProgress saves the progress of running items to the store, from which another VM can resume them. It includes
-// only items with at least minEvents new events or with a new failure. A failed save is not retried, since the next
-// save includes the same progress.
-func (r *runner) saveProgress(ctx context.Context, minEvents int) {
+// only items with at least minEvents new events, a new failure or a result that is not stored yet. It reports whether there
+// may be more such items than fit into a commit.
+func (r *runner) saveProgress(ctx context.Context, minEvents int) (more bool, err error) {
 	r.mu.Lock()
 	e := r.entry
 	runs := make([]*itemRun, 0, len(r.active))
@@ -40,38 +40,43 @@
 	size := 0
 	for _, i := range runs {
 		s, ok := i.unsaved(minEvents)
-		if !ok || len(writes) >= maxSaveRows {
+		if !ok {
 			continue
 		}
 		data, err := encodeRow(s)
 		if err != nil {
-			r.jobs.Logger.Error("progress encoding failed", "item", i.item.ID, "error", err)
-			continue
+			return false, fmt.Errorf("encode the progress of item %s: %w", i.item.ID, err)
 		}
-		if len(data) > maxRowSize || size+len(data) > maxSaveSize {
+		if len(data) > maxRowSize {
 			continue // a text too large to save is generated again if the VM fails
 		}
+		if len(writes) >= maxSaveRows || size+len(data) > maxSaveSize {
+			more = true
+			continue
+		}
 		size += len(data)
 		writes = append(writes, guavaplatform.Write{Key: savedKey(e.job.ID, i.index), Value: data})
 		written[i] = s
 	}
 	if len(writes) == 0 {
-		return
+		return false, nil
 	}
 	check := []guavaplatform.Check{{Key: jobKey(e.job.ID), Revision: e.revision}}
-	_, err := r.jobs.Table.CommitAt(ctx, check, writes)
-	if err != nil && !errors.Is(err, guavaplatform.ErrUnknown) {
-		r.jobs.Logger.Info("progress save failed", "job", e.job.ID, "items", len(writes), "error", err)
-		return
+	_, err = r.jobs.Table.CommitAt(ctx, check, writes)
+	if err == nil || errors.Is(err, guavaplatform.ErrUnknown) { // rows that may exist have to be deleted with the job
+		r.mu.Lock()
+		for i := range written {
+			r.savedItems[i.item.ID] = i.index
+		}
+		r.mu.Unlock()
 	}
-	r.mu.Lock()
-	for i := range written {
-		r.savedItems[i.item.ID] = i.index
+	if err != nil {
+		return false, fmt.Errorf("save the progress of %d items of job %s: %w", len(writes), e.job.ID, err)
 	}
-	r.mu.Unlock()
 	for i, s := range written {
 		i.markSaved(s)
 	}
+	return more, nil
 }
 
 // removeCompleted removes the items of committed results from those that are running and those with saved progress.
@@ -119,9 +124,8 @@
 	if err := json.Unmarshal(value, &s); err != nil {
 		return 0, s, fmt.Errorf("decode progress: %w", err)
 	}
-	// Events have consecutive numbers from 0 or above, and -1 stands for none.
-	if index < 0 || s.Failures < 0 || s.Events < 0 || s.Last < s.Events-1 || (s.Events == 0) != (s.Last == -1) {
-		return 0, s, errors.New("numbers that no progress has")
+	if index < 0 || !s.IsValid() {
+		return 0, s, errors.New("values that no progress has")
 	}
 	return index, s, nil
 }
