Count crashes across the VMs that decide

Cause: each VM counted lost runs by itself, from the moment at which it became the one that decides; nothing of the counts was told to other VMs or stored, and a run that was reported to a VM that had just failed was not counted at all.

Change: the VM that decides tells all VMs with links to it of each lost run, of the answers that clear it and of the server's end; on a new link VMs exchange all that counts. What VMs know of a run converges, whatever messages are lost, doubled or late. A VM reports the runs that it lost in the last 2 s to the next coordinator too. One loss before a ban, a suspicion goes to the table of bans: it refuses nothing, and outlasts all VMs. Numbers of requests are unique across processes of a VM.

--- a/core/guavapoison/ban.go
+++ b/core/guavapoison/ban.go
@@ -36,7 +36,10 @@
 	Confirmed bool
 	// Sound is true if all traits are parts of requests that were answered before. Such bans are tried soon.
 	Sound bool
-	// Changed is the time of the last change. Of two states of a ban the one that was changed last holds.
+	// Suspected is true if one more lost run is needed for the ban. Until then, nothing is refused.
+	Suspected bool
+	// Changed is the time of the last change. Of two states of a ban the one that was changed last holds, but for a suspicion or
+	// its lifting, which do not replace a ban.
 	Changed time.Time
 	// Lifted bans refuse nothing: a request with their traits was answered.
 	Lifted bool
@@ -58,18 +61,32 @@
 type ban struct {
 	Ban
 	since  time.Time // begin of the first lost run that counts for it
-	losses []*loss   // those that count for it, until it is confirmed
+	losses []*Loss   // those that count for it, until it is confirmed
 }
 
 // active reports whether the ban refuses requests.
-func (b *ban) active(now time.Time) bool { return !b.Lifted && b.Until.After(now) }
+func (b *ban) active(now time.Time) bool { return b.inForce() && b.Until.After(now) }
+
+// inForce reports whether the ban was not lifted and is more than a suspicion. It may have lapsed.
+func (b *ban) inForce() bool { return !b.Lifted && !b.Suspected }
+
+// isReplacedBy reports whether another state of the ban holds.
+func (b *ban) isReplacedBy(n Ban) bool {
+	switch {
+	case b.inForce() && n.Suspected:
+		return false
+	case b.Suspected && !n.Suspected && !n.Lifted:
+		return true
+	}
+	return n.Changed.After(b.Changed)
+}
 
 // crashes returns the number of losses whose server is known to have terminated, and the time of the last one.
 func (b *ban) crashes() (n int, last time.Time) {
 	for _, l := range b.losses {
-		if l.crashed {
+		if l.Crashed {
 			n++
-			last = l.at
+			last = l.At
 		}
 	}
 	return n, last
@@ -92,7 +109,7 @@
 	}
 	for _, b := range t.matching(traitsOf(content, parts)) {
 		switch {
-		case b.Lifted:
+		case !b.inForce():
 		case b.active(now):
 			v, remaining = Refuse, max(remaining, b.Until.Sub(now))
 		case v == Pass:
@@ -108,7 +125,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range t.matching(traitsOf(content, parts)) {
-		if b.Lifted || b.active(now) {
+		if !b.inForce() || b.active(now) {
 			continue
 		}
 		b.Trials++
@@ -198,7 +215,7 @@
 			continue
 		}
 		if known := t.bans[n.ID()]; known != nil {
-			if !n.Changed.After(known.Changed) {
+			if !known.isReplacedBy(n) {
 				continue
 			}
 			known.Ban = n
@@ -231,26 +248,59 @@
 }
 
 // ban bans requests with all of the traits because of lost runs.
-func (t *CrashTracker) ban(now time.Time, traits []uint64, losses []*loss) {
+func (t *CrashTracker) ban(now time.Time, traits []uint64, losses []*Loss) {
 	b := t.bans[Ban{Traits: traits}.ID()]
 	if b == nil {
 		b = &ban{Ban: Ban{Traits: slices.Clone(traits)}}
 		t.insert(now, b)
 	}
-	if b.Lifted {
-		b.Trials, b.Confirmed, b.Lifted = 0, false, false
+	if !b.inForce() {
+		b.Trials, b.Confirmed, b.Lifted, b.Suspected = 0, false, false, false
 	}
 	b.since, b.losses, b.Sound = losses[0].Began, slices.Clone(losses), t.allSound(traits)
 	t.renew(now, b, max(b.ttl(), b.Until.Sub(now)))
 	t.confirm(now, b)
 }
 
+// markSuspected records that one more lost run of a request with all of the traits is enough for a ban.
+func (t *CrashTracker) markSuspected(now time.Time, traits []uint64, losses []*Loss) {
+	b := t.bans[Ban{Traits: traits}.ID()]
+	switch {
+	case b == nil:
+		b = &ban{Ban: Ban{Traits: slices.Clone(traits)}}
+		t.insert(now, b)
+	case !b.Lifted:
+		return
+	}
+	b.Trials, b.Confirmed, b.Lifted, b.Suspected = 0, false, false, true
+	b.since, b.Sound = losses[0].Began, t.allSound(traits)
+	t.renew(now, b, 0)
+}
+
+// confirmSuspicions bans what a loss shares with earlier ones that only a suspicion tells of.
+func (t *CrashTracker) confirmSuspicions(now time.Time, l *Loss) {
+	if !l.counts() {
+		return
+	}
+	for _, b := range t.matching(l.Traits) { // those for which it does not overlap with a loss that is known here
+		// The run that led to the suspicion had ended when that was recorded.
+		if b.Lifted || !b.Suspected || !l.Began.After(b.Changed) || now.Sub(b.Changed) > suspectTTL {
+			continue
+		}
+		if l.Item && slices.Contains(b.Traits, l.Content) {
+			continue
+		}
+		t.ban(now, b.Traits, []*Loss{l})
+	}
+}
+
 // confirmBans extends the bans for whose lost runs enough servers have terminated.
 func (t *CrashTracker) confirmBans(now time.Time, server string) {
 	for _, b := range t.bans {
 		for _, l := range b.losses {
-			if l.Server == server && now.Sub(l.at) <= confirmWindow {
-				l.crashed = true
+			if l.Server == server && now.Sub(l.At) <= confirmWindow {
+				l.Crashed = true
+				t.losses.change(l)
 			}
 		}
 		t.confirm(now, b)
@@ -259,7 +309,7 @@
 
 func (t *CrashTracker) confirm(now time.Time, b *ban) {
 	n, last := b.crashes()
-	if b.Confirmed || b.Lifted || n < crashLimit {
+	if b.Confirmed || !b.inForce() || n < crashLimit {
 		return
 	}
 	b.Confirmed, b.losses = true, nil
@@ -268,7 +318,7 @@
 
 // isBanned reports whether requests with the traits are banned, or were until the ban lapsed.
 func (t *CrashTracker) isBanned(traits []uint64) bool {
-	return slices.ContainsFunc(t.matching(traits), func(b *ban) bool { return !b.Lifted })
+	return slices.ContainsFunc(t.matching(traits), (*ban).inForce)
 }
 
 // recordBannedAnswer lifts the bans of the request of a run that was answered, and narrows those of which it has some of
@@ -287,9 +337,13 @@
 		default:
 			narrow := t.bans[Ban{Traits: rest}.ID()]
 			if narrow == nil {
-				narrow = &ban{Ban: Ban{Traits: rest}, since: b.since, losses: b.losses}
+				narrow = &ban{Ban: Ban{Traits: rest, Suspected: b.Suspected}, since: b.since, losses: b.losses}
 				t.insert(now, narrow)
 			}
+			if narrow.Lifted {
+				narrow.Suspected = b.Suspected
+			}
+			narrow.Suspected = narrow.Suspected && b.Suspected
 			narrow.Lifted, narrow.Trials, narrow.Confirmed = false, max(narrow.Trials, b.Trials), narrow.Confirmed || b.Confirmed
 			t.renew(now, narrow, max(narrow.Until.Sub(now), b.Until.Sub(now)))
 			t.lift(now, b)
--- a/core/guavapoison/crash_tracker.go
+++ b/core/guavapoison/crash_tracker.go
@@ -54,21 +54,10 @@
 	return traits
 }
 
-// loss is a run that ended without a response.
-type loss struct {
-	Run
-	at      time.Time
-	silent  bool // the connection stayed open, but no byte was received
-	crashed bool // its server is known to have terminated
-}
-
-// counts reports whether the loss counts as a crash. A silent server may be sound.
-func (l *loss) counts() bool { return l.crashed || !l.silent }
-
 // suspect holds the lost runs of requests with a trait since the last one that was answered: not overlapping, the oldest
 // first. Of overlapping runs only one counts: when servers fail together, harmless requests may be in flight at several
 // of them.
-type suspect struct{ losses []*loss }
+type suspect struct{ losses []*Loss }
 
 // crashes returns the number of losses that count.
 func (s *suspect) crashes() int {
@@ -106,11 +95,14 @@
 	bans     map[uint64]*ban   // by Ban.ID
 	byTrait  map[uint64][]*ban // by the first trait
 	changes  []Ban             // since the last call of TakeChanges
+	losses   lossRegister
 }
 
 // NewCrashTracker returns a tracker without suspects.
 func NewCrashTracker() *CrashTracker {
-	return &CrashTracker{suspects: map[uint64]*suspect{}, bans: map[uint64]*ban{}, byTrait: map[uint64][]*ban{}}
+	return &CrashTracker{
+		suspects: map[uint64]*suspect{}, bans: map[uint64]*ban{}, byTrait: map[uint64][]*ban{}, losses: newLossRegister(),
+	}
 }
 
 // RecordLost records that a run ended before its server had got beyond the begin of an answer: its connection was closed,
@@ -122,67 +114,68 @@
 	if len(t.bans) > 0 && t.isBanned(traits) {
 		return // it began before the ban was known here, or is a trial that failed
 	}
-	l := t.known(&r, traits)
+	l := t.losses.find(r.ID, r.Server)
 	if l == nil {
-		l = &loss{Run: r, at: now, silent: silent}
+		l = &Loss{Run: r, At: now, Silent: silent}
+		t.losses.add(now, l)
 		for _, trait := range traits {
-			t.suspect(now, trait).add(l)
+			if t.suspect(now, trait).add(l) {
+				l.Traits = append(l.Traits, trait)
+			}
 		}
 	} else if !silent {
-		l.silent = false
+		l.Silent = false
 	}
+	t.losses.change(l)
 	t.judge(now, l)
 }
 
-// known returns the loss that was recorded of a run, when its server was silent before it broke off.
-func (t *CrashTracker) known(r *Run, traits []uint64) *loss {
-	for _, trait := range traits {
-		if s := t.suspects[trait]; s != nil {
-			for _, l := range s.losses {
-				if l.ID == r.ID && l.Server == r.Server {
-					return l
-				}
-			}
-		}
-	}
-	return nil
-}
-
-// add adds a loss unless it overlaps with an earlier one.
-func (s *suspect) add(l *loss) {
-	if n := len(s.losses); n > 0 && l.at.Sub(s.losses[n-1].at) > suspectTTL {
+// add adds a loss unless it overlaps with an earlier one, and reports whether it did.
+func (s *suspect) add(l *Loss) bool {
+	if n := len(s.losses); n > 0 && l.At.Sub(s.losses[n-1].At) > suspectTTL {
 		s.losses = nil
 	}
-	if n := len(s.losses); n > 0 && l.Began.Before(s.losses[n-1].at) {
-		return
+	if n := len(s.losses); n > 0 && l.Began.Before(s.losses[n-1].At) {
+		return false
 	}
+	s.append(l)
+	return true
+}
+
+func (s *suspect) append(l *Loss) {
 	if len(s.losses) == maxLosses {
 		s.losses = slices.Delete(s.losses, 0, 1)
 	}
 	s.losses = append(s.losses, l)
 }
 
-// judge bans what a loss shares with others, if enough runs were lost.
-func (t *CrashTracker) judge(now time.Time, l *loss) {
-	if s := t.suspects[l.Content]; s != nil && !l.Item && s.crashes() >= crashLimit {
-		t.ban(now, []uint64{l.Content}, s.losses)
-	}
-	parts := t.culprits(l)
-	if len(parts) == 0 {
-		return
+// judge bans what a loss shares with others, if enough runs were lost. With one less, it records a suspicion, with which
+// the next loss is enough for VMs that know of no earlier one.
+func (t *CrashTracker) judge(now time.Time, l *Loss) {
+	if s := t.suspects[l.Content]; s != nil && !l.Item {
+		switch n := s.crashes(); {
+		case n >= crashLimit:
+			t.ban(now, []uint64{l.Content}, s.losses)
+		case n == crashLimit-1:
+			t.markSuspected(now, []uint64{l.Content}, s.losses)
+		}
 	}
-	losses := t.suspects[parts[0]].losses
-	t.ban(now, parts, losses)
-	for _, p := range parts {
-		delete(t.suspects, p)
+	if parts := t.culprits(l, 0); len(parts) > 0 {
+		t.ban(now, parts, t.suspects[parts[0]].losses)
+		for _, p := range parts {
+			t.clear(p, func(*Loss) bool { return true })
+		}
+		t.discard(parts)
+	} else if parts := t.culprits(l, 1); len(parts) > 0 {
+		t.markSuspected(now, parts, t.suspects[parts[0]].losses)
 	}
-	t.discard(parts)
+	t.confirmSuspicions(now, l)
 }
 
-// culprits returns the parts of a loss that explain it best and have reached their limits; none if there are no such
-// parts. Parts that had no answer come first, then those with the most crashes. A part of one request only, which is
-// repeated, is no better explanation than the request.
-func (t *CrashTracker) culprits(l *loss) []uint64 {
+// culprits returns the parts of a loss that explain it best and have reached their limits, or lack the given number of
+// losses to them; none if there are no such parts. Parts that had no answer come first, then those with the most crashes. A
+// part of one request only, which is repeated, is no better explanation than the request.
+func (t *CrashTracker) culprits(l *Loss, lacking int) []uint64 {
 	parts := make([]uint64, 0, len(l.Parts))
 	best, bestSound := 0, false
 	for _, p := range l.Parts {
@@ -191,7 +184,7 @@
 			continue
 		}
 		n, sound := s.crashes(), t.sound.contains(p)
-		if !s.reached(sound) {
+		if !s.reached(sound, lacking) {
 			continue
 		}
 		switch {
@@ -204,21 +197,38 @@
 	return parts
 }
 
-// reached reports whether a part with the losses is banned. sound parts had answers before.
-func (s *suspect) reached(sound bool) bool {
+// reached reports whether a part with the losses, and with the number that it lacks, is banned. sound parts had answers before.
+func (s *suspect) reached(sound bool, lacking int) bool {
+	n := s.crashes() + lacking
 	if !sound {
-		return s.crashes() >= crashLimit
+		return n >= crashLimit
 	}
-	return s.crashes() >= soundCrashLimit && s.losses[len(s.losses)-1].at.Sub(s.losses[0].Began) >= soundCrashSpan
+	return n >= soundCrashLimit && s.losses[len(s.losses)-1].At.Sub(s.losses[0].Began) >= soundCrashSpan
 }
 
 // discard removes the losses that a ban explains from the other traits.
 func (t *CrashTracker) discard(parts []uint64) {
-	for trait, s := range t.suspects {
-		s.losses = slices.DeleteFunc(s.losses, func(l *loss) bool { return containsAll(l.Parts, parts) })
-		if len(s.losses) == 0 {
-			delete(t.suspects, trait)
+	for trait := range t.suspects {
+		t.clear(trait, func(l *Loss) bool { return containsAll(l.Parts, parts) })
+	}
+}
+
+// clear removes the losses that match from a trait.
+func (t *CrashTracker) clear(trait uint64, match func(l *Loss) bool) {
+	s := t.suspects[trait]
+	if s == nil {
+		return
+	}
+	s.losses = slices.DeleteFunc(s.losses, func(l *Loss) bool {
+		if !match(l) {
+			return false
 		}
+		l.removeTrait(trait)
+		t.losses.change(l)
+		return true
+	})
+	if len(s.losses) == 0 {
+		delete(t.suspects, trait)
 	}
 }
 
@@ -251,14 +261,7 @@
 		return
 	}
 	for _, trait := range r.traits() {
-		s := t.suspects[trait]
-		if s == nil {
-			continue
-		}
-		s.losses = slices.DeleteFunc(s.losses, func(l *loss) bool { return !l.Began.After(r.Began) })
-		if len(s.losses) == 0 {
-			delete(t.suspects, trait)
-		}
+		t.clear(trait, func(l *Loss) bool { return !l.Began.After(r.Began) })
 	}
 }
 
@@ -275,11 +278,12 @@
 func (t *CrashTracker) ServerEnded(now time.Time, server string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var confirmed []*loss
+	var confirmed []*Loss
 	for _, s := range t.suspects {
 		for _, l := range s.losses {
-			if l.Server == server && !l.crashed && now.Sub(l.at) <= confirmWindow {
-				l.crashed = true
+			if l.Server == server && !l.Crashed && now.Sub(l.At) <= confirmWindow {
+				l.Crashed = true
+				t.losses.change(l)
 				confirmed = append(confirmed, l)
 			}
 		}
@@ -317,12 +321,12 @@
 	var least *suspect
 	for trait, s := range t.suspects {
 		n := len(s.losses)
-		if n == 0 || now.Sub(s.losses[n-1].at) > suspectTTL {
+		if n == 0 || now.Sub(s.losses[n-1].At) > suspectTTL {
 			delete(t.suspects, trait)
 			continue
 		}
 		if least == nil || n < len(least.losses) ||
-			(n == len(least.losses) && s.losses[n-1].at.Before(least.losses[n-1].at)) {
+			(n == len(least.losses) && s.losses[n-1].At.Before(least.losses[n-1].At)) {
 			worst, least = trait, s
 		}
 	}
--- a/io/guavacoord/client.go
+++ b/io/guavacoord/client.go
@@ -75,6 +75,9 @@
 
 	startupDone chan struct{} // closed startupTime after the start: this VM no longer waits for links to others
 
+	lossMu    sync.Mutex
+	lossTimer *time.Timer // sends the lost runs that were recorded since the last message, nil if there was none lately
+
 	// incomingMu orders the messages of incoming links with the changes of the links: writers replace links and drop
 	// their requests, readers process messages. It is locked before mu.
 	incomingMu sync.RWMutex
@@ -92,6 +95,7 @@
 	owners        [guavaquota.Groups]string
 	pending       map[guavaplace.Key]*pendingRequest
 	active        map[guavaplace.Key]*Reservation
+	lostRuns      []lostRun // released lately
 	tokenCaches   map[string]*tokenCache
 	tokenRequests map[uint64]chan given
 }
@@ -119,9 +123,10 @@
 		suspects: map[string]time.Time{}, coordinators: map[string]string{},
 		pending: map[guavaplace.Key]*pendingRequest{}, active: map[guavaplace.Key]*Reservation{},
 		tokenCaches: map[string]*tokenCache{}, tokenRequests: map[uint64]chan given{}, crashes: guavapoison.NewCrashTracker(),
+		lastNumber: self.Incarnation, // so that no earlier process of this VM has used the numbers
 	}
 	c.startupDone = make(chan struct{})
-	c.local = newCoordinator(self.Name, config, t, n, c.deliver, c.crashes, c.publishBans, l)
+	c.local = newCoordinator(self.Name, config, t, n, c.deliver, c.crashes, c.publishBans, c.publishLosses, l)
 	c.mesh = guavamesh.New(self.Identity, dial, c, l)
 	return c
 }
--- a/io/guavacoord/coordinator.go
+++ b/io/guavacoord/coordinator.go
@@ -29,9 +29,11 @@
 	deliver     deliverFunc
 	crashes     *guavapoison.CrashTracker
 	publishBans func(list []guavapoison.Ban) // sends them to all VMs and the store
-	notices     Notices
-	config      func() *guavatraffic.Config
-	logger      hclog.Logger
+	// publishLosses sends the lost runs that the tracker has recorded to other VMs.
+	publishLosses func()
+	notices       Notices
+	config        func() *guavatraffic.Config
+	logger        hclog.Logger
 
 	mu           sync.Mutex
 	services     map[string]*service              // by name of the shard
@@ -52,10 +54,10 @@
 
 func newCoordinator(
 	self string, config func() *guavatraffic.Config, t guavaquota.Tolerance, n Notices, d deliverFunc,
-	crashes *guavapoison.CrashTracker, publish func(list []guavapoison.Ban), l hclog.Logger,
+	crashes *guavapoison.CrashTracker, publishBans func(list []guavapoison.Ban), publishLosses func(), l hclog.Logger,
 ) *coordinator {
 	c := &coordinator{
-		self: self, deliver: d, crashes: crashes, publishBans: publish, config: config, notices: n, logger: l,
+		self: self, deliver: d, crashes: crashes, publishBans: publishBans, publishLosses: publishLosses, config: config, notices: n, logger: l,
 		services: map[string]*service{}, servers: map[string][]guavatraffic.Server{},
 	}
 	for g := range c.allocators {
@@ -159,6 +161,7 @@
 	bans := c.crashes.TakeChanges()
 	c.mu.Unlock()
 	c.publishBans(bans)
+	c.publishLosses()
 	c.deliverDecisions(name, decisions)
 }
 
--- a/io/guavacoord/link.go
+++ b/io/guavacoord/link.go
@@ -37,8 +37,9 @@
 	if !l.Outgoing {
 		c.addIncoming(l)
 	}
-	if list := c.crashes.Bans(); len(list) > 0 {
-		l.Send(encodeBans(time.Now(), list))
+	now := time.Now()
+	if bans, losses := c.crashes.Bans(), c.crashes.Losses(now); len(bans)+len(losses) > 0 {
+		l.Send(encodeBans(now, bans).withLosses(now, losses))
 	}
 	if l.Outgoing {
 		c.announceGroups(false)
@@ -114,6 +115,7 @@
 		c.handleReply(l.Peer.Name, message)
 	case banned:
 		c.mergeBans(l, m.decode(time.Now()))
+		c.mergeLosses(l, m)
 	case submit, withdraw, started, release, join, leave, adopt, take:
 		c.handleIncoming(l, message)
 	default:
--- a/io/guavacoord/message.go
+++ b/io/guavacoord/message.go
@@ -52,8 +52,12 @@
 	leave struct{ Service string }
 )
 
-// banned tells all VMs which requests are refused because they crash servers, and for how long.
-type banned struct{ List []ban }
+// banned tells VMs which requests are refused because they crash servers, and for how long, and which runs were lost, which
+// may lead to further bans. VMs of an earlier version ignore Lost.
+type banned struct {
+	List []ban
+	Lost []loss
+}
 
 // ban is the message form of a guavapoison.Ban. Content is its ID, by which VMs of an earlier version refuse a request,
 // and Left the remaining time.
@@ -66,6 +70,18 @@
 	Sound     bool
 	Changed   int64 // Unix time in milliseconds
 	Lifted    bool
+	Suspected bool
+}
+
+// loss is the message form of a guavapoison.Loss. Began and Ended are the times since then, so that the clocks of the VMs need
+// not agree.
+type loss struct {
+	ID, Server      string
+	Began, Ended    time.Duration
+	Content         uint64
+	Parts, Traits   []uint64
+	Item            bool
+	Silent, Crashed bool
 }
 
 // decided holds decisions of a coordinator.
--- a/io/guavacoord/reservation.go
+++ b/io/guavacoord/reservation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,16 +91,43 @@
 func (p *Reservation) Release(o guavaplace.Outcome, work float64) {
 	p.releaseOnce.Do(func() {
 		c := p.client
+		m := release{
+			Service: p.service, Notices: p.notice(),
+			Report: guavaplace.Report{Key: p.request.Key, Outcome: o, Work: work, Begun: p.begun.Load()},
+		}
 		c.mu.Lock()
 		delete(c.active, p.request.Key)
+		if o == guavaplace.ConnectionLost && !m.Report.Begun {
+			c.keepLostRun(lostRun{run: guavaplace.ActiveRun{Request: p.request, Server: p.Server}, start: p.start, end: time.Now(), release: m})
+		}
 		c.mu.Unlock()
-		c.sendToCoordinator(p.service, release{
-			Service: p.service, Notices: p.notice(),
-			Report: guavaplace.Report{Key: p.request.Key, Outcome: o, Work: work, Begun: p.begun.Load()},
-		})
+		c.sendToCoordinator(p.service, m)
 	})
 }
 
+const (
+	// lostRunTTL is how long a lost run is reported to further coordinators. It exceeds the time after which a VM notices that
+	// its coordinator has failed.
+	lostRunTTL = 2 * time.Second
+	// maxLostRuns bounds the lost runs that are kept for further coordinators.
+	maxLostRuns = 200
+)
+
+// lostRun is a run whose server broke off, which the coordinator to which it was reported may not have been able to count.
+type lostRun struct {
+	run        guavaplace.ActiveRun
+	start, end time.Time
+	release    release
+}
+
+// keepLostRun keeps a lost run for further coordinators. c.mu must be locked.
+func (c *Client) keepLostRun(r lostRun) {
+	c.lostRuns = slices.DeleteFunc(c.lostRuns, func(old lostRun) bool { return r.end.Sub(old.end) > lostRunTTL })
+	if len(c.lostRuns) < maxLostRuns {
+		c.lostRuns = append(c.lostRuns, r)
+	}
+}
+
 // sendToCoordinator sends a message to the coordinator of a shard.
 func (c *Client) sendToCoordinator(service string, message any) {
 	c.mu.Lock()
--- a/io/guavacoord/responsible.go
+++ b/io/guavacoord/responsible.go
@@ -158,7 +158,8 @@
 }
 
 // updateCoordinator returns the coordinator of a shard. If it has changed, the previous one is told to drop the
-// requests of this VM, and the new one receives the list of those that run.
+// requests of this VM, and the new one receives the list of those that run, and of those that were lost lately: the previous
+// one may have failed before it could count them.
 func (c *Client) updateCoordinator(service string) string {
 	c.mu.Lock()
 	vm, previous := c.responsibleVM(serviceKey(service)), c.coordinators[service]
@@ -174,6 +175,13 @@
 			list = append(list, guavaplace.ActiveRun{Request: p.request, Server: p.Server, Age: now.Sub(p.start)})
 		}
 	}
+	var lost []lostRun
+	for _, r := range c.lostRuns {
+		if r.release.Service == service && now.Sub(r.end) <= lostRunTTL {
+			r.run.Age = now.Sub(r.start)
+			list, lost = append(list, r.run), append(lost, r)
+		}
+	}
 	c.mu.Unlock()
 	c.logger.Info("coordinator changed", "service", service, "peer", vm, "before", previous, "held", len(list))
 	if previous != "" {
@@ -181,5 +189,8 @@
 		c.failPending(func(p *pendingRequest) bool { return p.service == service && p.vm == previous })
 	}
 	c.send(vm, join{Service: service, Held: list, Notices: c.notices.Notices(guavaplace.ParseShard(service).Service)})
+	for _, r := range lost {
+		c.send(vm, r.release)
+	}
 	return vm
 }
--- a/io/guavaedge/bans.go
+++ b/io/guavaedge/bans.go
@@ -32,6 +32,7 @@
 	Trials    int      `json:"trials"`
 	Confirmed bool     `json:"confirmed"`
 	Sound     bool     `json:"sound"`
+	Suspected bool     `json:"suspected,omitempty"`
 }
 
 // decodeBan decodes a row of tableBans. Its errors do not contain the row's bytes, which may be those of another writer.
@@ -42,7 +43,7 @@
 	}
 	b := guavapoison.Ban{
 		Traits: r.Traits, Until: time.UnixMilli(r.Until), Changed: time.UnixMilli(r.Changed), Trials: r.Trials,
-		Confirmed: r.Confirmed, Sound: r.Sound,
+		Confirmed: r.Confirmed, Sound: r.Sound, Suspected: r.Suspected,
 	}
 	if len(b.Traits) == 0 || name != banName(b.ID()) || r.Trials < 0 {
 		return guavapoison.Ban{}, errors.New("the traits are missing or do not match the key, or the trials are negative")
@@ -145,7 +146,7 @@
 			if !b.Lifted {
 				data, err := json.Marshal(banRecord{
 					Traits: b.Traits, Until: b.Until.UnixMilli(), Changed: b.Changed.UnixMilli(), Trials: b.Trials,
-					Confirmed: b.Confirmed, Sound: b.Sound,
+					Confirmed: b.Confirmed, Sound: b.Sound, Suspected: b.Suspected,
 				})
 				if err != nil {
 					t.mu.Unlock()
