Don't ban a part for a crash that another request has caused

Cause: a crash loses all runs of its server. If a sound run was reported before the one that caused the crash, the part that both had got its third loss first, and was banned alone if no answer had been seen yet.

Change: a part is not banned while another part, which the last lost run does not have, explains all earlier losses. The run that caused the crash, or the next one, decides.

TestCrashReportedOutOfOrder fails before.

--- a/core/guavapoison/crash_tracker.go
+++ b/core/guavapoison/crash_tracker.go
@@ -184,7 +184,7 @@
 			continue
 		}
 		n, sound := s.crashes(), t.sound.contains(p)
-		if !s.reached(sound, lacking) {
+		if !s.reached(sound, lacking) || t.hasRival(s, l) {
 			continue
 		}
 		switch {
@@ -197,6 +197,28 @@
 	return parts
 }
 
+// hasRival reports whether a part that the last lost run of a part does not have explains all others. A crash loses several
+// runs, and the run that caused it need not be the first one that is reported.
+func (t *CrashTracker) hasRival(s *suspect, last *Loss) bool {
+	others := slices.DeleteFunc(slices.Clone(s.losses), func(l *Loss) bool { return l == last })
+	for trait, rival := range t.suspects {
+		isPart := !slices.ContainsFunc(rival.losses, func(l *Loss) bool { return l.Content == trait })
+		if isPart && !slices.Contains(last.Parts, trait) && rival.explains(others) {
+			return true
+		}
+	}
+	return false
+}
+
+// explains reports whether a run with the trait was lost in the same crash as each of the losses.
+func (s *suspect) explains(losses []*Loss) bool {
+	return !slices.ContainsFunc(losses, func(l *Loss) bool {
+		return !slices.ContainsFunc(s.losses, func(own *Loss) bool {
+			return own == l || (own.Server == l.Server && own.Began.Before(l.At) && l.Began.Before(own.At))
+		})
+	})
+}
+
 // reached reports whether a part with the losses, and with the number that it lacks, is banned. sound parts had answers before.
 func (s *suspect) reached(sound bool, lacking int) bool {
 	n := s.crashes() + lacking
--- a/core/guavapoison/loss_test.go
+++ b/core/guavapoison/loss_test.go
@@ -187,3 +187,27 @@
 		t.Errorf("verdict %q after three crashes, want refuse", v)
 	}
 }
+
+// TestCrashReportedOutOfOrder guards against a ban of a part that sound requests have, because a server lost one of them in the
+// crash that another request caused, and that run is reported first.
+func TestCrashReportedOutOfOrder(t *testing.T) {
+	const common, deadly = 8, 9
+	tracker, now := guavapoison.NewCrashTracker(), epoch
+	for n := range uint64(6) {
+		server := fmt.Sprintf("server-%d", n)
+		sound := guavapoison.Run{ID: fmt.Sprint("s", n), Server: server, Began: now, Content: 100 + n, Parts: []uint64{common}}
+		culprit := guavapoison.Run{ID: fmt.Sprint("d", n), Server: server, Began: now, Content: 200 + n, Parts: []uint64{common, deadly}}
+		now = now.Add(time.Second)
+		if n == 2 {
+			tracker.RecordLost(now, sound, false)
+		}
+		tracker.RecordLost(now, culprit, false)
+		now = now.Add(100 * time.Millisecond)
+	}
+	if v, _ := tracker.Check(now, 1, []uint64{common}); v != guavapoison.Pass {
+		t.Errorf("verdict %q about requests with the common part only, want pass", v)
+	}
+	if v, _ := tracker.Check(now, 1, []uint64{common, deadly}); v != guavapoison.Refuse {
+		t.Errorf("verdict %q about requests with both parts, want refuse", v)
+	}
+}
