Bound the size of messages between VMs

Whatever connects to a VM's link address could make it read a message of up to a gigabyte, which gob allows, within the time that a link may be without a message.

Change: a message may have 24 MiB; the link is closed otherwise.

TestMessageWithoutEnd fails for three of five forms before (the test stops at 48 MiB) and passes now.

--- a/io/guavamesh/link.go
+++ b/io/guavamesh/link.go
@@ -27,6 +27,9 @@
 	writeTimeout = time.Second
 	// queueLength is the capacity of the send queue, in messages.
 	queueLength = 1024
+	// maxMessageSize is the maximum size of a message in bytes. The largest are snapshots of tables, and objects of the store
+	// that a VM passes on.
+	maxMessageSize = 24 << 20
 	// Sizes of a link's buffers in bytes. Messages are small.
 	readBufferSize  = 2 << 10
 	writeBufferSize = 2 << 10
@@ -53,6 +56,7 @@
 	conn         net.Conn
 	encoder      *gob.Encoder
 	decoder      *gob.Decoder
+	reader       *messageReader
 	writer       *bufio.Writer
 	queue        chan any
 	closed       chan struct{}
@@ -68,9 +72,10 @@
 	if outgoing {
 		interval, timeout = dialerInterval, dialerTimeout
 	}
+	reader := &messageReader{Reader: bufio.NewReaderSize(c, readBufferSize)}
 	return &Link{
 		Outgoing: outgoing, interval: interval, readTimeout: timeout, conn: c, writer: w,
-		encoder: gob.NewEncoder(w), decoder: gob.NewDecoder(bufio.NewReaderSize(c, readBufferSize)),
+		encoder: gob.NewEncoder(w), decoder: gob.NewDecoder(reader), reader: reader,
 		queue: make(chan any, queueLength), closed: make(chan struct{}), start: time.Now(),
 	}
 }
@@ -113,7 +118,7 @@
 		return fmt.Errorf("send greeting: %w", err)
 	}
 	var e envelope
-	if err := l.decoder.Decode(&e); err != nil {
+	if err := l.read(&e); err != nil {
 		return fmt.Errorf("read greeting: %w", err)
 	}
 	g, ok := e.Message.(greeting)
@@ -125,6 +130,40 @@
 	return nil
 }
 
+// read reads a message of at most maxMessageSize.
+func (l *Link) read(e *envelope) error {
+	l.reader.remaining = maxMessageSize
+	return l.decoder.Decode(e) //nolint:wrapcheck // the callers say what they read
+}
+
+// messageReader fails after remaining bytes. It implements io.ByteReader, so that the decoder reads no further than to the end
+// of a message.
+type messageReader struct {
+	*bufio.Reader
+	remaining int
+}
+
+var errMessageTooLarge = fmt.Errorf("message of more than %d bytes", maxMessageSize)
+
+// Read implements io.Reader.
+func (r *messageReader) Read(p []byte) (int, error) {
+	if len(p) > 0 && r.remaining <= 0 {
+		return 0, errMessageTooLarge
+	}
+	n, err := r.Reader.Read(p[:min(len(p), max(r.remaining, 0))])
+	r.remaining -= n
+	return n, err //nolint:wrapcheck // io.Reader wants io.EOF itself
+}
+
+// ReadByte implements io.ByteReader.
+func (r *messageReader) ReadByte() (byte, error) {
+	if r.remaining <= 0 {
+		return 0, errMessageTooLarge
+	}
+	r.remaining--
+	return r.Reader.ReadByte() //nolint:wrapcheck // likewise
+}
+
 func (l *Link) write(message any) error {
 	if err := l.encoder.Encode(envelope{Message: message}); err != nil {
 		return fmt.Errorf("encode %T: %w", message, err)
@@ -184,7 +223,7 @@
 			return
 		}
 		var e envelope
-		if err := l.decoder.Decode(&e); err != nil {
+		if err := l.read(&e); err != nil {
 			l.close(fmt.Errorf("receive: %w", err))
 			return
 		}
--- a/io/guavamesh/mesh_test.go
+++ b/io/guavamesh/mesh_test.go
@@ -107,3 +107,46 @@
 		}
 	})
 }
+
+// TestMessageWithoutEnd guards against a VM, or whatever else connects, that sends a message without an end, which uses up the
+// memory of the VM that reads it.
+func TestMessageWithoutEnd(t *testing.T) {
+	const maxTaken, flood = 25 << 20, 48 << 20
+	for name, start := range map[string][]byte{
+		"length of a gigabyte":   {0xfc, 0x3f, 0xff, 0xff, 0xff},
+		"no message":             []byte("GET / HTTP/1.1\r\n"),
+		"definitions of a type":  {0x04, 0xff, 0x81, 0x03, 0x01, 0xfc, 0x3f, 0xff, 0xff, 0xff},
+		"length of eight bytes":  {0xf8, 0x00, 0x00, 0x00, 0x00, 0x3f, 0xff, 0xff, 0xff},
+		"zeros, which are empty": {0x00},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := guavanetwork.New()
+				ln, err := network.Listen("b", "10.0.0.2:1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer ln.Close()
+				b := guavamesh.New(guavamember.Identity{Name: "b"}, network.Site("b").Dial, &recorder{}, hclog.NewNullLogger())
+				defer b.Close()
+				go b.Serve(ln)
+				c, err := network.Site("a").Dial(t.Context(), "tcp", "10.0.0.2:1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				go func() { _, _ = io.Copy(io.Discard, c) }()
+				taken, err := c.Write(start)
+				for filler := make([]byte, 64<<10); err == nil && taken < flood; {
+					var n int
+					n, err = c.Write(filler)
+					taken += n
+				}
+				if taken > maxTaken {
+					t.Errorf("the VM took %d bytes of a message, want at most %d", taken, maxTaken)
+				}
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
