Send the target of a request as it was received

Cause: fasthttp's Request.CopyTo copies the parsed URI with the request, and Request.Write then writes the normalized form.

Change: header and body are copied, not the request.

--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -49,8 +49,10 @@
 		c.token = token
 	}
 	c.service = c.route.Service(c.request.ID)
-	// The HTTP server may reuse the context while a stream is still being relayed.
-	c.ctx.Request.CopyTo(&c.message)
+	// The HTTP server may reuse the context while a stream is still being relayed. Request.CopyTo would also copy the parsed
+	// URI, whose path is normalized, and Request.Write would send that instead of the one received.
+	c.ctx.Request.Header.CopyTo(&c.message.Header)
+	c.message.SetBody(c.ctx.Request.Body())
 	c.fingerprintSum = c.fingerprint().Sum()
 	for {
 		streaming, retry := c.attempt()
@@ -176,7 +178,8 @@
 	reservation *guavacoord.Reservation, lastEventID int, p guavasilence.Phase,
 ) (*guavasend.Exchange, error) {
 	q := &fasthttp.Request{}
-	c.message.CopyTo(q)
+	c.message.Header.CopyTo(&q.Header)
+	q.SetBodyRaw(c.message.Body())
 	guavatransport.StripHop(&q.Header) // before Prepare: Connection may name headers that it sets
 	c.gate.Protocol.Prepare(&q.Header, ForwardInfo{
 		Server: reservation.Server, Account: c.account, Timeout: time.Until(c.deadline), LastEventID: lastEventID,
