Agree which of the runs lost at the same time counts

Found by reading: a VM that was told of two losses that overlap, recorded by two other VMs, dropped one of them as if an answer had cleared it, and told others so. If another VM dropped the other one, neither counted any more, and the request crashed one server more.

Change: a loss that overlaps stays known, and counts once those that it overlaps with are cleared. Losses name the VM that recorded them, since only those of one VM are known not to overlap, whoever passes them on.

TestOverlappingLosses (300 seeds) fails before, with verdicts that differ by the order of messages, and passes now.

--- a/core/guavapoison/ban.go
+++ b/core/guavapoison/ban.go
@@ -392,7 +392,7 @@
 		if !first.Lifted {
 			t.lift(now, first)
 		}
-		t.remove(first)
+		t.removeBan(first)
 	}
 	t.bans[b.ID()] = b
 	t.byTrait[b.Traits[0]] = append(t.byTrait[b.Traits[0]], b)
@@ -409,7 +409,7 @@
 	return cmp.Or(a.Until.Compare(b.Until), cmp.Compare(a.ID(), b.ID()))
 }
 
-func (t *CrashTracker) remove(b *ban) {
+func (t *CrashTracker) removeBan(b *ban) {
 	delete(t.bans, b.ID())
 	key := b.Traits[0]
 	t.byTrait[key] = slices.DeleteFunc(t.byTrait[key], func(other *ban) bool { return other == b })
--- a/core/guavapoison/crash_tracker.go
+++ b/core/guavapoison/crash_tracker.go
@@ -56,8 +56,11 @@
 
 // suspect holds the lost runs of requests with a trait since the last one that was answered: not overlapping, the oldest
 // first. Of overlapping runs only one counts: when servers fail together, harmless requests may be in flight at several
-// of them.
-type suspect struct{ losses []*Loss }
+// of them. The others that VMs have told of are kept, since those VMs may not know what they overlap with.
+type suspect struct {
+	losses      []*Loss
+	overlapping []*Loss
+}
 
 // crashes returns the number of losses that count.
 func (s *suspect) crashes() int {
@@ -123,8 +126,8 @@
 				l.Traits = append(l.Traits, trait)
 			}
 		}
-	} else if !silent {
-		l.Silent = false
+	} else {
+		l.Silent, l.Recorder = l.Silent && silent, ""
 	}
 	t.losses.change(l)
 	t.judge(now, l)
@@ -237,11 +240,7 @@
 
 // clear removes the losses that match from a trait.
 func (t *CrashTracker) clear(trait uint64, match func(l *Loss) bool) {
-	s := t.suspects[trait]
-	if s == nil {
-		return
-	}
-	s.losses = slices.DeleteFunc(s.losses, func(l *Loss) bool {
+	t.remove(trait, func(l *Loss) bool {
 		if !match(l) {
 			return false
 		}
@@ -249,6 +248,20 @@
 		t.losses.change(l)
 		return true
 	})
+}
+
+// remove removes the losses that match from the suspect of a trait.
+func (t *CrashTracker) remove(trait uint64, match func(l *Loss) bool) {
+	s := t.suspects[trait]
+	if s == nil {
+		return
+	}
+	s.losses = slices.DeleteFunc(s.losses, match)
+	overlapping := slices.DeleteFunc(s.overlapping, match)
+	s.overlapping = nil
+	for _, l := range overlapping {
+		s.merge(l)
+	}
 	if len(s.losses) == 0 {
 		delete(t.suspects, trait)
 	}
--- a/core/guavapoison/loss.go
+++ b/core/guavapoison/loss.go
@@ -29,8 +29,8 @@
 	// Traits are those of the run's traits for which the loss still counts: no request with the trait was answered since, and
 	// no ban explains the loss.
 	Traits []uint64
-
-	origin string // the VM that told this one of the loss, "" for none
+	// Recorder is the VM that recorded the loss, "" for the tracker's own.
+	Recorder string
 }
 
 // counts reports whether the loss counts as a crash. A silent server may be sound.
@@ -48,7 +48,7 @@
 // clone returns a copy that can be passed to another VM.
 func (l *Loss) clone() Loss {
 	c := *l
-	c.Traits, c.Parts, c.origin = slices.Clone(l.Traits), slices.Clone(l.Parts), ""
+	c.Traits, c.Parts = slices.Clone(l.Traits), slices.Clone(l.Parts)
 	return c
 }
 
@@ -136,7 +136,10 @@
 			continue
 		}
 		if l := t.losses.find(n.ID, n.Server); l == nil {
-			if own := t.adopt(now, from, n); own != nil {
+			if n.Recorder == "" {
+				n.Recorder = from
+			}
+			if own := t.adopt(now, n); own != nil {
 				t.judge(now, own)
 			}
 		} else if t.update(l, n) {
@@ -148,19 +151,15 @@
 
 // adopt adds a loss that another VM has told this one of, and returns the last one that this VM has recorded of those that
 // share a trait with it, nil if there is none.
-func (t *CrashTracker) adopt(now time.Time, from string, n Loss) (own *Loss) {
+func (t *CrashTracker) adopt(now time.Time, n Loss) (own *Loss) {
 	l := &n
-	wanted := l.Traits
-	l.Traits, l.origin = nil, from
+	l.Traits = slices.Clone(n.Traits)
 	t.losses.add(now, l)
-	for _, trait := range wanted {
+	for _, trait := range l.Traits {
 		s := t.suspect(now, trait)
-		if !s.merge(l) {
-			continue
-		}
-		l.Traits = append(l.Traits, trait)
+		s.merge(l)
 		for _, other := range s.losses {
-			if other.origin == "" && (own == nil || own.At.Before(other.At)) {
+			if other.Recorder == "" && (own == nil || own.At.Before(other.At)) {
 				own = other
 			}
 		}
@@ -176,29 +175,24 @@
 			continue
 		}
 		l.removeTrait(trait)
-		s := t.suspects[trait]
-		if s == nil {
-			continue
-		}
-		s.losses = slices.DeleteFunc(s.losses, func(other *Loss) bool { return other == l })
-		if len(s.losses) == 0 {
-			delete(t.suspects, trait)
-		}
+		t.remove(trait, func(other *Loss) bool { return other == l })
 	}
 	newer = newer || (l.Crashed && !n.Crashed) || (!l.Silent && n.Silent)
 	l.Crashed, l.Silent = l.Crashed || n.Crashed, l.Silent && n.Silent
 	return newer
 }
 
-// merge adds a loss that another VM recorded, and reports whether it did. Losses that the same VM has told of don't overlap,
-// whatever delay their messages had.
-func (s *suspect) merge(l *Loss) bool {
+// merge adds a loss that another VM recorded. Those that the same VM recorded don't overlap, whatever delay their messages had.
+func (s *suspect) merge(l *Loss) {
 	for _, other := range s.losses {
-		if other.origin != l.origin && other.Began.Before(l.At) && l.Began.Before(other.At) {
-			return false
+		if other.Recorder == l.Recorder || !other.Began.Before(l.At) || !l.Began.Before(other.At) {
+			continue
+		}
+		if len(s.overlapping) < maxLosses {
+			s.overlapping = append(s.overlapping, l)
 		}
+		return
 	}
 	s.append(l)
 	slices.SortStableFunc(s.losses, compareLosses)
-	return true
 }
--- a/core/guavapoison/loss_test.go
+++ b/core/guavapoison/loss_test.go
@@ -120,6 +120,50 @@
 	}
 }
 
+// TestOverlappingLosses guards against crashes that are forgotten because VMs disagree which of two runs that were lost at the same
+// time counts, and against both counting: servers that fail together lose harmless requests. "again" is the number of later crashes.
+func TestOverlappingLosses(t *testing.T) {
+	const content, part = 7, 9
+	for seed := range uint64(300) {
+		for again, want := range []guavapoison.Verdict{guavapoison.Pass, guavapoison.Pass, guavapoison.Refuse} {
+			r := newReplicas(seed)
+			first, second := r.run(content, part), r.run(content, part)
+			r.now = r.now.Add(time.Second)
+			a := r.random.IntN(len(r.trackers))
+			b := (a + 1 + r.random.IntN(len(r.trackers)-1)) % len(r.trackers)
+			r.trackers[a].RecordLost(r.now, first, false)
+			r.trackers[b].RecordLost(r.now, second, false)
+			r.tell(a, r.random.Float64())
+			r.tell(b, r.random.Float64())
+			for range r.random.IntN(6) {
+				r.link(r.random.IntN(len(r.trackers)), r.random.IntN(len(r.trackers)))
+			}
+			r.linkAll()
+			for range again {
+				r.now = r.now.Add(100 * time.Millisecond)
+				x, at := r.run(content, part), r.random.IntN(len(r.trackers))
+				r.now = r.now.Add(time.Second)
+				r.trackers[at].RecordLost(r.now, x, false)
+				r.linkAll()
+			}
+			for i, tracker := range r.trackers {
+				if v, _ := tracker.Check(r.now, content, []uint64{part}); v != want {
+					t.Errorf("seed %d, VM %d: verdict %q after two crashes at a time and %d more, want %q", seed, i, v, again, want)
+				}
+			}
+			answered := r.run(content, part)
+			r.now = r.now.Add(time.Second)
+			r.trackers[a].RecordAnswered(r.now, answered)
+			r.linkAll()
+			for i, tracker := range r.trackers {
+				if list := tracker.Losses(r.now); len(list) > 0 {
+					t.Errorf("seed %d, VM %d: %d losses count after an answer, want none", seed, i, len(list))
+				}
+			}
+		}
+	}
+}
+
 // TestAnsweredLossesDoNotReturn guards against a sound part that is banned because a VM that had not heard of the answers
 // tells of old losses, or decides with them.
 func TestAnsweredLossesDoNotReturn(t *testing.T) {
--- a/io/guavacoord/ban.go
+++ b/io/guavacoord/ban.go
@@ -30,7 +30,7 @@
 	for _, l := range list {
 		m.Lost = append(m.Lost, loss{
 			ID: l.ID, Server: l.Server, Began: now.Sub(l.Began), Ended: now.Sub(l.At), Content: l.Content, Parts: l.Parts, Traits: l.Traits,
-			Item: l.Item, Silent: l.Silent, Crashed: l.Crashed,
+			Item: l.Item, Silent: l.Silent, Crashed: l.Crashed, Recorder: l.Recorder,
 		})
 	}
 	return m
@@ -45,6 +45,7 @@
 				ID: l.ID, Server: l.Server, Began: now.Add(-l.Began), Content: l.Content, Parts: l.Parts, Item: l.Item,
 			},
 			At: now.Add(-max(l.Ended, 0)), Silent: l.Silent, Crashed: l.Crashed, Traits: l.Traits,
+			Recorder: l.Recorder,
 		})
 	}
 	return list
--- a/io/guavacoord/message.go
+++ b/io/guavacoord/message.go
@@ -82,6 +82,7 @@
 	Parts, Traits   []uint64
 	Item            bool
 	Silent, Crashed bool
+	Recorder        string // the VM that recorded it, "" for the sender
 }
 
 // decided holds decisions of a coordinator.
