Bound the memory and descriptors that callers hold

Cause: the HTTP server read whole bodies of up to 8 MB for each of some thousand connections before a decision, each was copied twice more, unread responses held no budget, the ports for probes, metrics and other VMs had no limit, and the limits of the configuration were not used.

Change: bodies are read by the gateway as they arrive, once, within a budget of a quarter of the VM's memory that responses share until they are sent; an account may use three quarters of it. Connections are bounded by memory and descriptors; the one that has waited for a complete request for longest makes room. Greetings and messages of other VMs are bounded before they are allocated. maxHeaderBytes, maxBodyBytes, headerTimeoutMs and idleTimeoutMs are used: 431, 413, 408.

--- a/core/guavabudget/budget.go
+++ b/core/guavabudget/budget.go
@@ -12,11 +12,15 @@
 // Budget is a number of bytes that is shared by any number of holders. Its methods may be called concurrently.
 type Budget struct {
 	limit int64
+	most  int64 // of one holder
 	used  atomic.Int64
 }
 
-// New returns a budget of the given number of bytes.
-func New(limit int) *Budget { return &Budget{limit: int64(limit)} }
+// New returns a budget of the given number of bytes. One holder may use a quarter of it.
+func New(limit int) *Budget { return &Budget{limit: int64(limit), most: int64(limit) / shareDivisor} }
+
+// NewUndivided returns a budget of the given number of bytes. One holder may use all of it.
+func NewUndivided(limit int) *Budget { return &Budget{limit: int64(limit), most: int64(limit)} }
 
 // Used returns the number of bytes that are held.
 func (b *Budget) Used() int { return int(b.used.Load()) }
@@ -35,7 +39,7 @@
 func (h *Holder) Set(bytes int) bool {
 	n := int64(bytes)
 	if n > h.held {
-		if n > h.budget.limit/shareDivisor {
+		if n > h.budget.most {
 			return false
 		}
 		if h.budget.used.Add(n-h.held) > h.budget.limit {
--- a/io/guavacoord/client.go
+++ b/io/guavacoord/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/core/guavamember"
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavapoison"
@@ -112,10 +113,10 @@
 	coordinatorLost bool
 }
 
-// New returns a client. Messages of other types and all link events are passed on to next.
+// New returns a client. Large messages of other VMs use the memory of received while they arrive. Messages of other types and all link events are passed on to next.
 func New(
 	self VM, config func() *guavatraffic.Config, t guavaquota.Tolerance, n Notices, next guavamesh.Handler,
-	dial guavamesh.Dial, l hclog.Logger,
+	dial guavamesh.Dial, received *guavabudget.Budget, l hclog.Logger,
 ) *Client {
 	c := &Client{
 		self: self, notices: n, logger: l, next: next,
@@ -127,7 +128,7 @@
 	}
 	c.startupDone = make(chan struct{})
 	c.local = newCoordinator(self.Name, config, t, n, c.deliver, c.crashes, c.publishBans, c.publishLosses, l)
-	c.mesh = guavamesh.New(self.Identity, dial, c, l)
+	c.mesh = guavamesh.New(self.Identity, dial, c, received, l)
 	return c
 }
 
--- a/io/guavacoord/half_open_test.go
+++ b/io/guavacoord/half_open_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/core/guavamember"
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavaquota"
@@ -91,7 +92,7 @@
 		site := network.Site(v.Name)
 		w := &wire{dial: site.Dial}
 		wires = append(wires, w)
-		c := guavacoord.New(v, func() *guavatraffic.Config { return config }, guavaquota.Tolerance{}, noNotices{}, ignore{}, w.Dial, hclog.NewNullLogger())
+		c := guavacoord.New(v, func() *guavatraffic.Config { return config }, guavaquota.Tolerance{}, noNotices{}, ignore{}, w.Dial, guavabudget.New(1<<20), hclog.NewNullLogger())
 		ln, err := site.Listen(v.Address)
 		if err != nil {
 			t.Fatal(err)
--- a/io/guavacoord/link_test.go
+++ b/io/guavacoord/link_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/core/guavamember"
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavaquota"
@@ -77,7 +78,7 @@
 		}
 		return lossyConn{c}, nil
 	}
-	c := guavacoord.New(f.vms[i], func() *guavatraffic.Config { return config }, guavaquota.Tolerance{}, noNotices{}, ignore{}, dial, hclog.NewNullLogger())
+	c := guavacoord.New(f.vms[i], func() *guavatraffic.Config { return config }, guavaquota.Tolerance{}, noNotices{}, ignore{}, dial, guavabudget.New(1<<20), hclog.NewNullLogger())
 	ln, err := f.network.Listen(f.vms[i].Name, f.vms[i].Address)
 	if err != nil {
 		f.Fatal(err)
--- a/io/guavacoord/links_test.go
+++ b/io/guavacoord/links_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/core/guavamember"
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavaquota"
@@ -59,7 +60,7 @@
 				return &lateClose{Conn: c, delay: time.Second}, nil
 			}
 			c := guavacoord.New(v, func() *guavatraffic.Config { return &guavatraffic.Config{} }, guavaquota.Tolerance{},
-				noNotices{}, ignore{}, dial, hclog.NewNullLogger())
+				noNotices{}, ignore{}, dial, guavabudget.New(1<<20), hclog.NewNullLogger())
 			c.SetServers([]guavatraffic.Server{{ID: "i", Service: service, Address: "i:80", Domain: "z", Slots: slots}})
 			c.SetVMs(list, []string{service}, nil)
 			running.Go(func() { c.Mesh().Serve(ln) })
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -51,8 +51,28 @@
 	// maxIdleConns is the maximum number of idle connections to each server, the number of slots that servers usually
 	// have.
 	maxIdleConns = 8
-	// responseShare is the part of the VM's memory that responses of servers may use: the memory divided by this number.
-	responseShare = 4
+	// bufferShare is the part of the VM's memory that bodies of requests and responses may use: the memory divided by this number.
+	bufferShare = 4
+	// accountShare is the part of that which the bodies of one account may use.
+	accountShare = 0.75
+	// connectionShare is the part of the VM's memory that connections of callers may use, and connectionBytes what one of them
+	// uses at most: its buffers, stacks and small bodies.
+	connectionShare = 3. / 16
+	connectionBytes = 32 << 10
+	// messageShare is the part of the VM's memory that messages of other VMs may use while they arrive: the memory divided by
+	// this number.
+	messageShare = 6
+	// maxGreeting is the number of connections on the port for other VMs that are not yet links, and greetingTime how long each
+	// may stay so while others wait.
+	maxGreeting  = 64
+	greetingTime = 100 * time.Millisecond
+	// maxProbes is the number of connections on the ports for readiness probes and metrics, and probeTimeout the time for a
+	// request on them. maxProbeSize bounds its body, in bytes.
+	maxProbes    = 32
+	probeTimeout = 5 * time.Second
+	maxProbeSize = 1 << 10
+	// evictAfter is how long a caller's connection may wait for a complete request while others wait for a connection.
+	evictAfter = time.Second
 	// reservedFiles is the number of file descriptors that are not available to connections of callers.
 	reservedFiles = 400
 	// writeTimeout is how long a caller may leave sent bytes unread before its connection is closed.
@@ -87,6 +107,7 @@
 	batch      *guavajobs.Jobs
 	pool       *guavapool.Pool
 	sender     *guavasend.Sender
+	buffers    *guavabudget.Budget // of the bodies of requests and responses
 	metrics    *guavametrics.Metrics
 
 	config, servers, vms, jobs, bans *guavaview.Follower
@@ -129,9 +150,13 @@
 			return c
 		}
 		return &guavatraffic.Config{}
-	}, guavaquota.Tolerance{Overage: s.Overage, Slack: s.Slack}, e.registry, e.replicator, network.Dial, logger)
+	}, guavaquota.Tolerance{Overage: s.Overage, Slack: s.Slack}, e.registry, e.replicator, network.Dial,
+		guavabudget.NewUndivided(s.Memory*(1<<20)/messageShare), logger)
 	e.pool = guavapool.New(network.Dial, dialTimeout, idleTimeout, maxIdleConns, &guavapool.Counters{})
-	e.sender = guavasend.New(e.pool, guavabudget.New(s.Memory*(1<<20)/responseShare))
+	buffers := s.Memory * (1 << 20) / bufferShare
+	budget := guavabudget.New(buffers)
+	e.buffers = budget
+	e.sender = guavasend.New(e.pool, budget)
 	sender := e.sender
 	store := guavafallback.New(p.Store, p.Store, func() bool { return e.config.Outage(time.Now()) > fallbackDelay },
 		e.replicator.randomLinks, logger)
@@ -153,8 +178,9 @@
 	})
 	e.gate = guavagate.New(guavagate.Dependencies{
 		Protocol: p.Wire, Admission: localAdmission{e.client, s.Domain}, Jobs: e.batch, Sender: sender,
+		Bodies: guavabudget.NewShares[string](budget, int(accountShare*float64(buffers))),
 		Config: config, Stale: e.isStale, Status: e.registry.status, Metrics: requests, Logger: logger,
-	}, s.Files-reservedFiles)
+	}, s.connections())
 	e.config = guavaview.New(p.Store, p.ConfigTable, []string{""}, guavaview.DefaultWait, e.registry.applyConfig, logger)
 	e.servers = guavaview.New(p.Store, p.ServerTable, []string{""}, guavaview.DefaultWait, e.registry.applyServers, logger)
 	e.vms = guavaview.New(p.Store, tableVMs, []string{""}, guavaview.DefaultWait, e.registry.applyVMs, logger)
@@ -180,6 +206,7 @@
 	e.updateMu.Lock()
 	defer e.updateMu.Unlock()
 	list := e.registry.list()
+	e.client.Mesh().SetFleet(len(list))
 	var services []string
 	if c := e.registry.config.Load(); c != nil {
 		for name := range c.Services {
@@ -264,13 +291,17 @@
 	background(e.monitorStore)
 	background(func(ctx context.Context) { e.batch.Run(ctx, e.setOwners) })
 	background(func(ctx context.Context) { e.servePeers(ctx, listeners[2]) })
-	ready := &fasthttp.Server{Handler: e.serveReady, NoDefaultServerHeader: true, NoDefaultDate: true, ReduceMemoryUsage: true}
-	group.Go(func() error { return serveUntil(ctx, ready.Serve, listeners[1]) })
+	ready := &fasthttp.Server{
+		Handler: e.serveReady, NoDefaultServerHeader: true, NoDefaultDate: true, ReduceMemoryUsage: true,
+		ReadTimeout: probeTimeout, WriteTimeout: probeTimeout, IdleTimeout: probeTimeout, MaxRequestBodySize: maxProbeSize,
+	}
+	group.Go(func() error { return serveUntil(ctx, ready.Serve, e.bounded(listeners[1], maxProbes, evictAfter)) })
 	if ln := listeners[3]; ln != nil {
-		group.Go(func() error { return e.serveMetrics(ctx, ln) })
+		group.Go(func() error { return e.serveMetrics(ctx, e.bounded(ln, maxProbes, evictAfter)) })
 	}
 	front := guavalisten.New(listeners[0], guavalisten.Options{
-		Limit: max(e.settings.Files-reservedFiles, 1), WriteTimeout: writeTimeout, Rejected: &e.gate.Counters.Rejected,
+		Limit: e.settings.connections(), WriteTimeout: writeTimeout, Rejected: &e.gate.Counters.Rejected,
+		EvictAfter: evictAfter, Evicted: &e.gate.Counters.Evicted, Timeouts: e.gate.Timeouts,
 		RejectResponse: "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
 	})
 	group.Go(func() error { return serveUntil(ctx, func(net.Listener) error { return e.gate.Serve(front) }, front) })
@@ -307,6 +338,15 @@
 	return nil
 }
 
+// bounded bounds the number of connections on a port that serves no callers. Beyond the limit, the one that has waited for longest
+// makes room, if it has waited for the given time.
+func (e *Edge) bounded(ln net.Listener, limit int, evictAfter time.Duration) net.Listener {
+	c := &e.gate.Counters
+	return guavalisten.New(ln, guavalisten.Options{
+		Limit: limit, LimitWaiting: true, WriteTimeout: writeTimeout, Rejected: &c.Rejected, EvictAfter: evictAfter, Evicted: &c.Evicted,
+	})
+}
+
 func (e *Edge) serveReady(ctx *fasthttp.RequestCtx) {
 	if !e.isReady() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -325,7 +365,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
-	e.client.Mesh().Serve(ln)
+	e.client.Mesh().Serve(e.bounded(ln, maxGreeting, greetingTime))
 }
 
 // monitorStore reports outages of the store to the registry, and expires its servers.
--- a/io/guavaedge/metrics.go
+++ b/io/guavaedge/metrics.go
@@ -93,6 +93,9 @@
 		{"guavaridge_resumed", "streams that went on at another server", &g.Resumed},
 		{"guavaridge_servers_silent", "silences of servers for which another server was sought", &g.Silences},
 		{"guavaridge_connections_rejected", "connections over the limit", &g.Rejected},
+		{"guavaridge_connections_evicted", "connections closed to make room for others", &g.Evicted},
+		{"guavaridge_requests_over_limit", "requests over a limit of the configuration", &g.OverLimit},
+		{"guavaridge_requests_over_memory", "requests refused for lack of memory", &g.OverMemory},
 		{"guavaridge_accepts_failed", "accepts of connections that failed and were retried", &e.acceptFailures},
 		{"guavaridge_answers_over_budget", "answers of servers that were larger than the memory for them", &e.sender.OverBudget},
 		{"guavaridge_jobs", "jobs that this VM began to run", &l.Jobs},
@@ -114,6 +117,7 @@
 		read       func() int64
 	}{
 		{"guavaridge_running", "requests being served", func() int64 { return int64(e.gate.Running()) }},
+		{"guavaridge_buffer_bytes", "memory held by bodies of requests and responses", func() int64 { return int64(e.buffers.Used()) }},
 		{"guavaridge_jobs_running", "jobs that this VM runs", func() int64 { return int64(e.batch.Running()) }},
 		{"guavaridge_config_version", "configuration in force", func() int64 {
 			if c := e.registry.config.Load(); c != nil {
@@ -147,7 +151,10 @@
 func (e *Edge) serveMetrics(ctx context.Context, ln net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", e.metrics.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: metricsReadTimeout}
+	server := &http.Server{
+		Handler: mux, ReadHeaderTimeout: metricsReadTimeout, ReadTimeout: probeTimeout, WriteTimeout: probeTimeout, IdleTimeout: probeTimeout,
+		MaxHeaderBytes: maxProbeSize,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // the process exits in any case
 	defer stop()
 	if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/io/guavaedge/settings.go
+++ b/io/guavaedge/settings.go
@@ -88,4 +88,9 @@
 	return nil
 }
 
+// connections returns the number of connections of callers that the descriptors and the memory of the VM allow.
+func (s Settings) connections() int {
+	return max(min(s.Files-reservedFiles, int(connectionShare*float64(s.Memory)*(1<<20)/connectionBytes)), 1)
+}
+
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavatraffic"
 	"guavaridge/io/guavacoord"
@@ -34,6 +35,8 @@
 	account string
 	service string
 	message fasthttp.Request
+	body    []byte
+	held    *guavabudget.SharedHolder[string] // memory of the body, nil if it holds none
 
 	runCtx         context.Context
 	cancel         context.CancelCauseFunc // nil before begin
@@ -54,9 +57,12 @@
 
 // serve responds to the request. A streamed response is completed later, when the HTTP server reads its body.
 func (c *call) serve() {
-	if !c.resolve() {
+	if !c.resolve() || !c.readBody() {
 		return
 	}
+	if c.conn != nil {
+		c.conn.Protect()
+	}
 	c.begin()
 	if c.request.Operation == Forward && c.route.Kind != guavatraffic.Batch && c.gate.outlastsDrain(c.deadline) {
 		c.refuse(fasthttp.StatusServiceUnavailable, unknownRetryAfter, "draining")
@@ -66,6 +72,7 @@
 	if c.request.Operation != Forward {
 		defer c.end()
 		c.gate.Jobs.Serve(c.runCtx, c.ctx, c.request, c.account)
+		c.holdResponse()
 		c.recordJobOutcome()
 		return
 	}
@@ -91,6 +98,7 @@
 	limit := time.Duration(share * float64(time.Until(c.deadline)))
 	ctx, stop := context.WithTimeoutCause(c.runCtx, limit, errDeadline)
 	defer stop()
+	c.ctx.Request.SetBodyRaw(c.body)
 	c.gate.Jobs.Submit(ctx, c.ctx, c.request, c.route, c.account)
 }
 
@@ -155,9 +163,8 @@
 		cancel(cause)
 		stop()
 	}
-	if w, ok := c.ctx.Conn().(*guavalisten.Connection); ok {
-		c.conn = w
-		w.Watch(func() { cancel(errDisconnected) })
+	if c.conn != nil {
+		c.conn.Watch(func() { cancel(errDisconnected) })
 	}
 }
 
@@ -167,6 +174,9 @@
 		return
 	}
 	c.ended = true
+	if c.held != nil {
+		c.held.Set(0)
+	}
 	if c.replacement != nil {
 		c.replacement.Release(guavaplace.Cancelled, 0)
 	}
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -49,10 +49,10 @@
 		c.token = token
 	}
 	c.service = c.route.Service(c.request.ID)
-	// The HTTP server may reuse the context while a stream is still being relayed. Request.CopyTo would also copy the parsed
+	// The HTTP server may reuse the header while a stream is still being relayed. Request.CopyTo would also copy the parsed
 	// URI, whose path is normalized, and Request.Write would send that instead of the one received.
 	c.ctx.Request.Header.CopyTo(&c.message.Header)
-	c.message.SetBody(c.ctx.Request.Body())
+	c.message.SetBodyRaw(c.body)
 	c.fingerprintSum = c.fingerprint().Sum()
 	for {
 		streaming, retry := c.attempt()
--- a/io/guavagate/gateway.go
+++ b/io/guavagate/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavaroster"
 	"guavaridge/core/guavatraffic"
@@ -41,6 +43,8 @@
 	Admission Admission
 	Jobs      Jobs
 	Sender    *guavasend.Sender
+	// Bodies is the memory for bodies of requests, by account.
+	Bodies *guavabudget.Shares[string]
 	// Config returns the configuration in force, nil while there is none.
 	Config func() *guavatraffic.Config
 	// Stale reports whether the configuration may be out of date because the store is unavailable.
@@ -78,6 +82,9 @@
 // Counters are the counters of a Gateway. The fields may be read at any time.
 type Counters struct {
 	Requests, Answered, Refused, Tokens, Limited, Failed, Disconnected, Retried, Resumed, Silences, Rejected atomic.Uint64
+	// OverLimit counts the requests that exceeded a limit of the configuration, OverMemory those for which the VM had no memory,
+	// and Evicted the connections that were closed to make room for others.
+	OverLimit, OverMemory, Evicted atomic.Uint64
 }
 
 const (
@@ -85,12 +92,15 @@
 	maxHeaderSize = 16 << 10
 	// maxBodySize bounds the body of a request, in bytes, unless the configuration does.
 	maxBodySize = 8 << 20
-	// readTimeout bounds the time for reading a complete request.
+	// readTimeout bounds the time for reading the head of a request unless the configuration sets a shorter one, and that for
+	// reading its body.
 	readTimeout = 10 * time.Second
-	// idleTimeout is how long idle connections stay open unless the configuration sets a time. idleMargin is added to that
-	// time, so that the caller closes them first.
-	idleTimeout = 75 * time.Second
-	idleMargin  = 5 * time.Second
+	// idleTimeout is how long idle connections stay open unless the configuration sets a shorter time. timeoutMargin is added to
+	// the times of the configuration, so that a VM that was frozen closes no connection whose caller has kept to them.
+	idleTimeout   = 75 * time.Second
+	timeoutMargin = 5 * time.Second
+	// unreadTimeout is how long after the deadline of a request its caller may read a response that is held for it.
+	unreadTimeout = 10 * time.Second
 	// unknownRetryAfter is the Retry-After time of a VM without a current configuration. The retry reaches another VM.
 	unknownRetryAfter = 30 * time.Millisecond
 	// closeTimeout bounds the time in which the requests that Close ends may still respond.
@@ -131,12 +141,18 @@
 	g := &Gateway{Dependencies: d, retryDetectors: map[string]*guavaplace.RetryDetector{}}
 	g.base, g.stop = context.WithCancelCause(context.Background())
 	g.http = &fasthttp.Server{
-		Handler:                      g.handle,
-		Logger:                       discardLogger{},
-		ReadBufferSize:               maxHeaderSize,
-		ReadTimeout:                  readTimeout,
-		IdleTimeout:                  idleTimeout,
-		MaxRequestBodySize:           maxBodySize,
+		Handler:            g.handle,
+		Logger:             discardLogger{},
+		ReadBufferSize:     maxHeaderSize,
+		ReadTimeout:        readTimeout,
+		IdleTimeout:        idleTimeout,
+		StreamRequestBody:  true,
+		MaxRequestBodySize: maxBodySize,
+		ErrorHandler:       g.handleReadError,
+		HeaderReceived: func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+			return fasthttp.RequestConfig{ReadTimeout: readTimeout} // for the body
+		},
+		ConnState:                    setIdle,
 		Concurrency:                  connections + 1,
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
@@ -148,6 +164,22 @@
 	return g
 }
 
+// Timeouts returns how long the head of a request may take, and how long a connection may stay idle, by the configuration in
+// force; 0 if it sets no time.
+func (g *Gateway) Timeouts() (head, idle time.Duration) {
+	c := g.Config()
+	if c == nil {
+		return 0, 0
+	}
+	if head = c.Limits.HeaderTime; head > 0 {
+		head += timeoutMargin
+	}
+	if idle = c.Limits.IdleTime; idle > 0 {
+		idle += timeoutMargin
+	}
+	return head, idle
+}
+
 // Serve accepts connections until Shutdown or Close. It returns nil after Drain.
 func (g *Gateway) Serve(l *guavalisten.Listener) error {
 	g.mu.Lock()
@@ -203,6 +235,7 @@
 
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	c := &call{gate: g, ctx: ctx, arrived: time.Now()}
+	c.conn, _ = ctx.Conn().(*guavalisten.Connection)
 	defer c.recoverPanic()
 	c.request = g.Protocol.DecodeRequest(&ctx.Request.Header)
 	g.Counters.Requests.Add(1)
@@ -212,6 +245,30 @@
 	c.serve()
 }
 
+// handleReadError responds to a request whose head could not be read.
+func (g *Gateway) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	var (
+		timeout net.Error
+		small   *fasthttp.ErrSmallBuffer
+	)
+	switch {
+	case errors.As(err, &small):
+		g.Counters.OverLimit.Add(1)
+		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	}
+}
+
+// setIdle tells a connection that its request has ended.
+func setIdle(c net.Conn, s fasthttp.ConnState) {
+	if w, ok := c.(*guavalisten.Connection); ok && s == fasthttp.StateIdle {
+		w.SetIdle()
+	}
+}
+
 // detectRetry reports whether a request of the route is a retry of a refused one, by its remaining time.
 func (g *Gateway) detectRetry(route string, remaining time.Duration) bool {
 	g.mu.Lock()
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -40,7 +40,7 @@
 		x.Close()
 		return c.handleSendError(reservation, &guavasend.Error{Sent: true, Err: err})
 	}
-	response := x.Response
+	response, held := x.Response, x.TakeHeld()
 	x.Finish()
 	outcome := guavaplace.Done
 	if status >= fasthttp.StatusInternalServerError {
@@ -50,10 +50,11 @@
 	}
 	reservation.Release(outcome, 0)
 	if outcome == guavaplace.Failed && c.route.Repeatable() && c.executions+1 < c.route.Attempts && c.runCtx.Err() == nil {
+		held.Set(0)
 		return c.retryPossiblyExecuted(fmt.Sprintf("status %d", status))
 	}
 	copyResponseHeader(&c.ctx.Response.Header, &response.Header)
-	c.ctx.Response.SetBodyRaw(body)
+	c.respond(body, held)
 	c.gate.Counters.Answered.Add(1)
 	c.gate.Metrics.Total(time.Since(c.arrived).Seconds())
 	c.log(messageAnswered, "status", status, "bytes", len(body))
--- a/io/guavajobs/results.go
+++ b/io/guavajobs/results.go
@@ -68,7 +68,7 @@
 		return
 	}
 	w.SetContentType("application/json")
-	w.SetBody(data)
+	w.Response.SetBodyRaw(data)
 }
 
 // refresh returns the job, read from the store if this VM's copy was confirmed too long ago for MaxStaleness: another
--- a/io/guavajobs/serve.go
+++ b/io/guavajobs/serve.go
@@ -101,7 +101,7 @@
 	for _, i := range items {
 		if i.ID == r.Item {
 			w.SetContentType("application/octet-stream")
-			w.SetBody(i.Body)
+			w.Response.SetBodyRaw(i.Body)
 			return
 		}
 	}
--- a/io/guavalisten/listener.go
+++ b/io/guavalisten/listener.go
@@ -17,14 +17,24 @@
 type Options struct {
 	// Limit is the maximum number of open connections.
 	Limit int
+	// LimitWaiting makes Limit apply to the connections without those that are protected.
+	LimitWaiting bool
 	// WriteTimeout bounds the time for which a caller reads none of the bytes sent.
 	WriteTimeout time.Duration
+	// Timeouts, if set, returns how long the head of a request may take from its first byte, and how long a connection may wait for
+	// that byte. They bound the read deadlines that the HTTP server sets; 0 means no bound.
+	Timeouts func() (head, idle time.Duration)
 	// TLS, if set, is the TLS configuration of all connections.
 	TLS *tls.Config
 	// RejectResponse is sent unchanged on connections over the limit, which are then closed. With TLS, nothing is sent.
 	RejectResponse string
 	// Rejected counts the connections over the limit.
 	Rejected *atomic.Uint64
+	// EvictAfter, if above 0, makes room for a connection over the limit by closing the one that has waited for a complete request
+	// for longest, and at least for this time.
+	EvictAfter time.Duration
+	// Evicted counts the connections that were closed to make room; nil if EvictAfter is 0.
+	Evicted *atomic.Uint64
 }
 
 // Listener bounds the number of connections and wraps each in a Connection.
@@ -53,8 +63,9 @@
 			return nil, err
 		}
 		c := &Connection{Conn: raw, listener: l, done: make(chan struct{}, 1), writeTimeout: l.options.WriteTimeout}
+		c.waiting.Store(time.Now().UnixNano())
 		l.mu.Lock()
-		full := len(l.conns) >= l.options.Limit
+		full := len(l.conns) >= l.options.Limit && !l.evict()
 		if !full {
 			l.conns[c] = struct{}{}
 		}
@@ -73,6 +84,28 @@
 	}
 }
 
+// evict closes the connection that has waited for a complete request for longest. It returns false if none may be closed. The
+// caller holds mu.
+func (l *Listener) evict() bool {
+	if l.options.EvictAfter <= 0 {
+		return false
+	}
+	var victim *Connection
+	oldest := time.Now().Add(-l.options.EvictAfter).UnixNano()
+	for c := range l.conns {
+		if since := c.waiting.Load(); since != protected && since <= oldest {
+			victim, oldest = c, since
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	delete(l.conns, victim)
+	victim.Conn.Close()
+	l.options.Evicted.Add(1)
+	return true
+}
+
 // Close implements net.Listener. It may be called more than once, since both the front and its HTTP server close it.
 func (l *Listener) Close() (err error) {
 	l.once.Do(func() { err = l.Listener.Close() })
@@ -106,6 +139,9 @@
 	writeTimeout time.Duration
 	deadlineSet  time.Time // when the write deadline was last set
 	linger       atomic.Bool
+	headBegun    atomic.Bool  // bytes have arrived since the connection began to wait
+	headTimed    atomic.Bool  // the time for the head has been set since then
+	waiting      atomic.Int64 // Unix time in ns since when the connection waits for a complete request, or protected
 
 	mu        sync.Mutex
 	timer     *time.Timer
@@ -118,6 +154,43 @@
 	done      chan struct{}
 }
 
+// protected says that a connection is not closed to make room for another.
+const protected = 0
+
+// Protect keeps the connection from being closed to make room for another one, until SetIdle.
+func (c *Connection) Protect() {
+	c.waiting.Store(protected)
+	if l := c.listener; l.options.LimitWaiting {
+		l.mu.Lock()
+		delete(l.conns, c)
+		l.mu.Unlock()
+	}
+}
+
+// SetIdle records that the connection waits for a request from now on.
+func (c *Connection) SetIdle() {
+	c.headBegun.Store(false)
+	c.headTimed.Store(false)
+	c.waiting.Store(time.Now().UnixNano())
+}
+
+// SetReadDeadline implements net.Conn. The HTTP server calls it before it waits for a request, when the first byte has arrived, and
+// when the head is complete; the last call is for the body.
+func (c *Connection) SetReadDeadline(t time.Time) error {
+	if c.listener.options.Timeouts != nil && c.waiting.Load() != protected && !c.headTimed.Load() {
+		head, idle := c.listener.options.Timeouts()
+		limit := idle
+		if c.headBegun.Load() {
+			limit = head
+			c.headTimed.Store(true)
+		}
+		if end := time.Now().Add(limit); limit > 0 && (t.IsZero() || t.After(end)) {
+			t = end
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // watchDelay is the time after which the watch of a request begins. Shorter requests end before a cancellation would
 // matter, and save the cost of the watch.
 const watchDelay = 20 * time.Millisecond
@@ -184,6 +257,7 @@
 	c.mu.Lock()
 	if c.buffered > 0 && len(p) > 0 {
 		p[0], c.buffered = c.readAhead[0], 0
+		c.headBegun.Store(true)
 		c.mu.Unlock()
 		return 1, nil
 	}
@@ -192,7 +266,11 @@
 	if err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.headBegun.Load() {
+		c.headBegun.Store(true)
+	}
+	return n, err
 }
 
 // Write implements net.Conn. The write deadline moves on with the writes, so that a stream may last long, but a caller
--- a/io/guavamesh/link.go
+++ b/io/guavamesh/link.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/core/guavamember"
 )
 
@@ -30,6 +31,10 @@
 	// maxMessageSize is the maximum size of a message in bytes. The largest are snapshots of tables, and objects of the store
 	// that a VM passes on.
 	maxMessageSize = 24 << 20
+	// maxGreetingSize is the maximum size of a greeting in bytes, with the description of its type.
+	maxGreetingSize = 4 << 10
+	// smallMessageSize is the size in bytes up to which messages use no memory of the budget.
+	smallMessageSize = 16 << 10
 	// Sizes of a link's buffers in bytes. Messages are small.
 	readBufferSize  = 2 << 10
 	writeBufferSize = 2 << 10
@@ -66,13 +71,13 @@
 	err          error
 }
 
-func newLink(c net.Conn, outgoing bool) *Link {
+func newLink(c net.Conn, outgoing bool, budget *guavabudget.Budget) *Link {
 	w := bufio.NewWriterSize(c, writeBufferSize)
 	interval, timeout := acceptorInterval, acceptorTimeout
 	if outgoing {
 		interval, timeout = dialerInterval, dialerTimeout
 	}
-	reader := &messageReader{Reader: bufio.NewReaderSize(c, readBufferSize)}
+	reader := &messageReader{Reader: bufio.NewReaderSize(c, readBufferSize), held: budget.Holder()}
 	return &Link{
 		Outgoing: outgoing, interval: interval, readTimeout: timeout, conn: c, writer: w,
 		encoder: gob.NewEncoder(w), decoder: gob.NewDecoder(reader), reader: reader,
@@ -118,7 +123,7 @@
 		return fmt.Errorf("send greeting: %w", err)
 	}
 	var e envelope
-	if err := l.read(&e); err != nil {
+	if err := l.read(&e, maxGreetingSize); err != nil {
 		return fmt.Errorf("read greeting: %w", err)
 	}
 	g, ok := e.Message.(greeting)
@@ -130,40 +135,13 @@
 	return nil
 }
 
-// read reads a message of at most maxMessageSize.
-func (l *Link) read(e *envelope) error {
-	l.reader.remaining = maxMessageSize
+// read reads a message of at most the given size in bytes.
+func (l *Link) read(e *envelope, size int) error {
+	l.reader.remaining = size
+	defer l.reader.held.Set(0)
 	return l.decoder.Decode(e) //nolint:wrapcheck // the callers say what they read
 }
 
-// messageReader fails after remaining bytes. It implements io.ByteReader, so that the decoder reads no further than to the end
-// of a message.
-type messageReader struct {
-	*bufio.Reader
-	remaining int
-}
-
-var errMessageTooLarge = fmt.Errorf("message of more than %d bytes", maxMessageSize)
-
-// Read implements io.Reader.
-func (r *messageReader) Read(p []byte) (int, error) {
-	if len(p) > 0 && r.remaining <= 0 {
-		return 0, errMessageTooLarge
-	}
-	n, err := r.Reader.Read(p[:min(len(p), max(r.remaining, 0))])
-	r.remaining -= n
-	return n, err //nolint:wrapcheck // io.Reader wants io.EOF itself
-}
-
-// ReadByte implements io.ByteReader.
-func (r *messageReader) ReadByte() (byte, error) {
-	if r.remaining <= 0 {
-		return 0, errMessageTooLarge
-	}
-	r.remaining--
-	return r.Reader.ReadByte() //nolint:wrapcheck // likewise
-}
-
 func (l *Link) write(message any) error {
 	if err := l.encoder.Encode(envelope{Message: message}); err != nil {
 		return fmt.Errorf("encode %T: %w", message, err)
@@ -223,7 +201,7 @@
 			return
 		}
 		var e envelope
-		if err := l.read(&e); err != nil {
+		if err := l.read(&e, maxMessageSize); err != nil {
 			l.close(fmt.Errorf("receive: %w", err))
 			return
 		}
--- a/io/guavamesh/mesh.go
+++ b/io/guavamesh/mesh.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/core/guavamember"
 )
 
@@ -23,6 +24,10 @@
 	// minBackoff and maxBackoff bound the backoff between attempts to connect to a VM.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
+	// linksPerVM is the number of links that each known VM may have with this one. A VM that was restarted has further ones for
+	// some seconds. minLinks is the smallest limit of the links, before VMs are known.
+	linksPerVM = 4
+	minLinks   = 64
 )
 
 func init() { //nolint:gochecknoinits // gob wants types of interface values registered before their first use
@@ -47,6 +52,7 @@
 	self    guavamember.Identity
 	dial    Dial
 	handler Handler
+	budget  *guavabudget.Budget
 	logger  hclog.Logger
 
 	mu      sync.Mutex
@@ -54,15 +60,16 @@
 	peers   map[string]guavamember.Identity
 	dialing map[string]bool
 	closed  bool
+	limit   int                // of active
 	active  map[*Link]struct{} // in both directions
 	done    chan struct{}
 	running sync.WaitGroup
 }
 
-// New returns a mesh without links.
-func New(self guavamember.Identity, dial Dial, h Handler, l hclog.Logger) *Mesh {
+// New returns a mesh without links. Large messages use the memory of received while they arrive.
+func New(self guavamember.Identity, dial Dial, h Handler, received *guavabudget.Budget, l hclog.Logger) *Mesh {
 	return &Mesh{
-		self: self, dial: dial, handler: h, logger: l,
+		self: self, dial: dial, handler: h, budget: received, logger: l, limit: minLinks,
 		links: map[string]*Link{}, peers: map[string]guavamember.Identity{}, dialing: map[string]bool{},
 		active: map[*Link]struct{}{}, done: make(chan struct{}),
 	}
@@ -81,7 +88,7 @@
 			continue
 		}
 		ok := m.start(func() {
-			l := newLink(c, false)
+			l := newLink(c, false, m.budget)
 			if err := l.handshake(m.self); err != nil {
 				c.Close()
 				return
@@ -132,6 +139,13 @@
 	}
 }
 
+// SetFleet sets the number of VMs that may have links with this one.
+func (m *Mesh) SetFleet(vms int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limit = max(linksPerVM*vms, minLinks)
+}
+
 // Link returns the link to a VM, nil while there is none.
 func (m *Mesh) Link(vm string) *Link {
 	m.mu.Lock()
@@ -203,7 +217,7 @@
 	if err != nil {
 		return false
 	}
-	l := newLink(c, true)
+	l := newLink(c, true, m.budget)
 	if err := l.handshake(m.self); err != nil || l.Peer.Name != vm.Name {
 		c.Close()
 		return false
@@ -216,11 +230,14 @@
 // run registers a link and serves it until it ends.
 func (m *Mesh) run(l *Link) {
 	m.mu.Lock()
-	if m.closed {
+	if m.closed || !l.Outgoing && len(m.active) >= m.limit {
 		m.mu.Unlock()
 		l.Close()
 		return
 	}
+	if p, ok := l.conn.(interface{ Protect() }); ok {
+		p.Protect()
+	}
 	m.active[l] = struct{}{}
 	if l.Outgoing {
 		m.links[l.Peer.Name] = l
--- a/io/guavamesh/mesh_test.go
+++ b/io/guavamesh/mesh_test.go
@@ -9,11 +9,15 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"guavaridge/core/guavabudget"
 	"guavaridge/core/guavamember"
 	"guavaridge/io/guavamesh"
 	"guavaridge/io/guavanetwork"
 )
 
+// testMemory is the memory for messages in bytes.
+const testMemory = 1 << 20
+
 // recorder records the heartbeats and ends of links.
 type recorder struct {
 	mu         sync.Mutex
@@ -58,8 +62,8 @@
 		}
 		defer ln.Close()
 		var dialer, acceptor recorder
-		a := guavamesh.New(guavamember.Identity{Name: "a"}, network.Site("a").Dial, &dialer, hclog.NewNullLogger())
-		b := guavamesh.New(guavamember.Identity{Name: "b"}, network.Site("b").Dial, &acceptor, hclog.NewNullLogger())
+		a := guavamesh.New(guavamember.Identity{Name: "a"}, network.Site("a").Dial, &dialer, guavabudget.New(testMemory), hclog.NewNullLogger())
+		b := guavamesh.New(guavamember.Identity{Name: "b"}, network.Site("b").Dial, &acceptor, guavabudget.New(testMemory), hclog.NewNullLogger())
 		defer a.Close()
 		defer b.Close()
 		go b.Serve(ln)
@@ -94,7 +98,7 @@
 			t.Fatal(err)
 		}
 		defer ln.Close()
-		m := guavamesh.New(guavamember.Identity{Name: "b"}, network.Site("b").Dial, &recorder{}, hclog.NewNullLogger())
+		m := guavamesh.New(guavamember.Identity{Name: "b"}, network.Site("b").Dial, &recorder{}, guavabudget.New(testMemory), hclog.NewNullLogger())
 		go m.Serve(ln)
 		m.Close()
 		c, err := network.Dial(t.Context(), "a", "10.0.0.2:1")
@@ -127,7 +131,7 @@
 					t.Fatal(err)
 				}
 				defer ln.Close()
-				b := guavamesh.New(guavamember.Identity{Name: "b"}, network.Site("b").Dial, &recorder{}, hclog.NewNullLogger())
+				b := guavamesh.New(guavamember.Identity{Name: "b"}, network.Site("b").Dial, &recorder{}, guavabudget.New(testMemory), hclog.NewNullLogger())
 				defer b.Close()
 				go b.Serve(ln)
 				c, err := network.Site("a").Dial(t.Context(), "tcp", "10.0.0.2:1")
--- a/io/guavasend/sender.go
+++ b/io/guavasend/sender.go
@@ -29,6 +29,9 @@
 	maxForeignSize = 1 << 20
 	// minReadSize is the size of the first read of a body without a length.
 	minReadSize = 4 << 10
+	// CoveredBytes is the size of a response up to which it uses none of the budget: the memory of its connections covers it,
+	// so that small responses are read also while large ones use up the budget.
+	CoveredBytes = 8 << 10
 	// resetWindow bounds the time until the reset of a connection that the server has dropped arrives: a round trip
 	// between regions. If the connection fails later, the request may have been executed.
 	resetWindow = 100 * time.Millisecond
@@ -120,6 +123,9 @@
 // New returns a sender that uses the connections of the pool, and holds what servers send within the budget.
 func New(p *guavapool.Pool, b *guavabudget.Budget) *Sender { return &Sender{pool: p, budget: b} }
 
+// Holder returns a holder of 0 bytes of the budget.
+func (s *Sender) Holder() guavabudget.Holder { return s.budget.Holder() }
+
 // Exchange is a request whose response headers have been read. It must be finished or closed.
 type Exchange struct {
 	Response *fasthttp.Response
@@ -261,13 +267,20 @@
 
 // Hold records the number of bytes of the response that are buffered, and returns ErrOverBudget if they are too many.
 func (x *Exchange) Hold(bytes int) error {
-	if !x.buffered.Set(bytes) {
+	if !x.buffered.Set(max(bytes-CoveredBytes, 0)) {
 		x.sender.OverBudget.Add(1)
 		return fmt.Errorf("buffer %d bytes from %s: %w", bytes, x.address, ErrOverBudget)
 	}
 	return nil
 }
 
+// TakeHeld returns the memory that the response holds, which Finish and Close then no longer release.
+func (x *Exchange) TakeHeld() guavabudget.Holder {
+	held := x.buffered
+	x.buffered = x.sender.budget.Holder()
+	return held
+}
+
 // ReadAll reads the complete body.
 func (x *Exchange) ReadAll() ([]byte, error) {
 	return ReadAll(x, x.Response.Header.ContentLength(), x.Hold)
