--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -184,6 +184,7 @@
 	c.gate.Protocol.Prepare(&q.Header, ForwardInfo{
 		Server: reservation.Server, Account: c.account, Timeout: time.Until(c.deadline), LastEventID: lastEventID,
 	})
+	guavatransport.KeepOrder(&q.Header, &c.message.Header)
 	r := guavasend.Request{
 		Address: reservation.Address, ID: c.request.ID, IDHeader: c.gate.Protocol.IDHeader(), Message: q,
 		MaxIdle: nonRepeatableMaxIdle, Repeatable: c.route.Repeatable(),
--- a/io/guavagate/outcome.go
+++ b/io/guavagate/outcome.go
@@ -100,6 +100,7 @@
 func (c *call) callerDisconnected() {
 	c.gate.Counters.Disconnected.Add(1)
 	c.ctx.SetConnectionClose()
+	c.ctx.SetStatusCode(fasthttp.StatusBadGateway) // for a caller that has closed only its sending side
 	c.log("caller disconnected")
 	c.recordOutcome(Disconnected, causeNone)
 }
