Evacuate failure domains, and limit the rate of cold servers

Cause: rows of the operator that ask to evacuate a domain were not read, and the tolerated rate of cold servers was not known.

Change: servers of an evacuated domain count as leaving on every VM, and as cold when it is taken back. A cold server begins at most half of the tolerated rate a second for each VM that decides. Both take effect only where rows, configuration and settings say so.

--- a/core/guavaplace/dispatch.go
+++ b/core/guavaplace/dispatch.go
@@ -134,6 +134,7 @@
 	r := s.newRun(now, w, v)
 	s.runs[w.Key] = r
 	v.add(r)
+	v.recordColdStart(now)
 	s.paths.startProbe(w.Domain, v.Domain)
 	s.decide(Decision{
 		Key: w.Key, Action: Run, Server: v.ID, Address: v.Address, Born: v.Born,
--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -60,7 +60,7 @@
 		if known == nil || known.Born != l.Born || known.Address != l.Address {
 			known = newServer(l, service.Memory)
 		}
-		known.Server, known.memory = l, service.Memory
+		known.Server, known.memory, known.maxColdStarts = l, service.Memory, service.ColdStarts
 		byID[l.ID] = known
 		servers = append(servers, known)
 	}
--- a/core/guavaplace/server.go
+++ b/core/guavaplace/server.go
@@ -70,6 +70,8 @@
 	limited            bool                // runs one request at a time
 	slowdown           average             // actual run time divided by the expected one
 	prefixes           []uint64            // recently used prompt prefixes, newest last
+	coldStarts         []time.Time         // of the runs of the last second that began while the server was cold
+	maxColdStarts      int                 // 0 if there is no limit
 }
 
 func newServer(s guavatraffic.Server, memory int) *server {
@@ -93,7 +95,36 @@
 
 // accepts reports whether the server can take requests from VMs in the failure domain.
 func (s *server) accepts(now time.Time, domain string) bool {
-	return !s.Leaving && s.breakers[domain].allows(now)
+	return !s.Leaving && s.breakers[domain].allows(now) && s.toleratesStart(now)
+}
+
+func (s *server) isCold(now time.Time) bool { return now.Before(s.ColdUntil) }
+
+// coldWindow is the time over which the starts on a cold server are counted.
+const coldWindow = time.Second
+
+// toleratesStart reports whether the server is warm or has begun fewer runs in the last second than it tolerates while it is cold. A
+// domain that comes back cold gets its share of the load as fast as its servers tolerate it.
+func (s *server) toleratesStart(now time.Time) bool {
+	if s.maxColdStarts == 0 || !s.isCold(now) {
+		return true
+	}
+	recent := 0
+	for _, at := range s.coldStarts {
+		if now.Sub(at) < coldWindow {
+			recent++
+		}
+	}
+	return recent < s.maxColdStarts
+}
+
+// recordColdStart records the start of a run on a cold server.
+func (s *server) recordColdStart(now time.Time) {
+	if s.maxColdStarts == 0 || !s.isCold(now) {
+		s.coldStarts = nil
+		return
+	}
+	s.coldStarts = append(slices.DeleteFunc(s.coldStarts, func(at time.Time) bool { return now.Sub(at) >= coldWindow }), now)
 }
 
 // fits reports whether the server has a free slot and enough memory for the request, within its concurrency limit.
@@ -138,7 +169,7 @@
 		v += 2
 	}
 	v += 2 * float64(s.failureRatio)
-	if s.Cold > 0 {
+	if s.isCold(now) {
 		v += 0.5
 	}
 	if r.Affinity != 0 && slices.Contains(s.prefixes, r.Affinity) {
--- a/core/guavaroster/roster.go
+++ b/core/guavaroster/roster.go
@@ -28,6 +28,7 @@
 	noticeOrder      []guavatraffic.Incarnation        // oldest first
 	pendingRemoval   map[string]time.Time              // servers without an entry, with the time of their removal
 	lastStoreFailure time.Time                         // when the store last failed
+	evacuated        map[string]bool                   // failure domains whose servers get no requests
 }
 
 // New returns an empty roster.
@@ -45,6 +46,9 @@
 // Replace may pass it, does not change the list.
 func (r *Roster) Put(s guavatraffic.Server) bool {
 	old, ok := r.servers[s.ID]
+	if ok && old.Born == s.Born && old.Cold == s.Cold {
+		s.ColdUntil = old.ColdUntil // the entry says nothing new of it
+	}
 	r.servers[s.ID] = s
 	delete(r.pendingRemoval, s.ID)
 	return !ok || old != s
@@ -135,9 +139,30 @@
 	}
 }
 
-// isLeaving reports whether a server is leaving, by its entry or by a notice.
+// isLeaving reports whether a server is leaving, by its entry or by a notice, or its failure domain is evacuated.
 func (r *Roster) isLeaving(s guavatraffic.Server) bool {
-	return s.Leaving || r.notices[s.Incarnation()]
+	return s.Leaving || r.notices[s.Incarnation()] || r.evacuated[s.Domain]
+}
+
+// SetEvacuated sets the failure domains whose servers get no requests, and reports whether that is a change. The servers of a
+// domain that is taken back may have become cold meanwhile: they count as cold for the time that coldTime returns for their
+// service, until their entries say more.
+func (r *Roster) SetEvacuated(now time.Time, domains []string, coldTime func(service string) time.Duration) bool {
+	evacuated := make(map[string]bool, len(domains))
+	for _, d := range domains {
+		evacuated[d] = true
+	}
+	if maps.Equal(evacuated, r.evacuated) {
+		return false
+	}
+	for id, s := range r.servers {
+		if until := now.Add(coldTime(s.Service)); r.evacuated[s.Domain] && !evacuated[s.Domain] && until.After(s.ColdUntil) {
+			s.ColdUntil = until
+			r.servers[id] = s
+		}
+	}
+	r.evacuated = evacuated
+	return true
 }
 
 // Entry returns the entry of a server. A server with a leaving notice may have an entry of one that is not leaving.
--- a/core/guavaroster/roster_test.go
+++ b/core/guavaroster/roster_test.go
@@ -205,3 +205,34 @@
 		t.Error("a leaving server or a removal does not change the list, or a second removal does")
 	}
 }
+
+// TestEvacuation guards against servers of an evacuated domain that count as usable, also those whose entries arrive later, and
+// against servers that count as warm when their domain is taken back.
+func TestEvacuation(t *testing.T) {
+	const coldTime = 3 * time.Second
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	r := guavaroster.New()
+	s := guavatraffic.Server{ID: "s", Service: "m", Address: "10.0.0.1:80", Domain: "b", Born: 1}
+	r.Put(s)
+	cold := func(string) time.Duration { return coldTime }
+	status := func(s guavatraffic.Server) guavaroster.Status { return r.List().Status("m", s.Incarnation()) }
+	if got := status(s); got != guavaroster.Usable {
+		t.Errorf("before the evacuation: got status %v, want usable", got)
+	}
+	if !r.SetEvacuated(now, []string{"b"}, cold) || r.SetEvacuated(now, []string{"b"}, cold) {
+		t.Error("got another number of changes than one")
+	}
+	late := guavatraffic.Server{ID: "late", Service: "m", Address: "10.0.0.2:80", Domain: "b", Born: 1}
+	r.Put(late)
+	if a, b := status(s), status(late); a != guavaroster.Leaving || b != guavaroster.Leaving {
+		t.Errorf("evacuated: got status %v and %v, want leaving", a, b)
+	}
+	r.SetEvacuated(now, nil, cold)
+	r.Put(s) // the same entry again
+	if got := status(s); got != guavaroster.Usable {
+		t.Errorf("taken back: got status %v, want usable", got)
+	}
+	if e, _ := r.Entry("s"); !e.ColdUntil.Equal(now.Add(coldTime)) {
+		t.Errorf("taken back: cold until %v, want for %v", e.ColdUntil, coldTime)
+	}
+}
--- a/core/guavatraffic/config.go
+++ b/core/guavatraffic/config.go
@@ -3,6 +3,7 @@
 package guavatraffic
 
 import (
+	"maps"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -89,6 +90,29 @@
 	return r.Priority
 }
 
+// ColdTolerance is how far the rate of a cold server may be exceeded: by a factor, and a number of requests per second.
+type ColdTolerance struct{ Overage, Slack float64 }
+
+// coldDeciders is the number of VMs that may send to the same cold server at a time: in a partition, each side has one that decides.
+const coldDeciders = 2
+
+// WithColdTolerance returns the configuration with limits on the requests to cold servers, for services that state a rate. The
+// zero tolerance sets none.
+func (c *Config) WithColdTolerance(t ColdTolerance) *Config {
+	if t == (ColdTolerance{}) {
+		return c
+	}
+	limited := *c
+	limited.Services = maps.Clone(c.Services)
+	for name, s := range limited.Services {
+		if s.ColdRate > 0 {
+			s.ColdStarts = max(int((s.ColdRate*t.Overage+t.Slack)/coldDeciders), 1)
+			limited.Services[name] = s
+		}
+	}
+	return &limited
+}
+
 // Service returns the service for a request of the route, or "" if all weights are 0. It distributes request IDs by
 // weight; the same ID always gets the same service.
 func (r Route) Service(id string) string {
--- a/core/guavatraffic/types.go
+++ b/core/guavatraffic/types.go
@@ -69,6 +69,12 @@
 	Slots int
 	// Connections is the number of connections that a server accepts from all callers together, 0 if there is no limit.
 	Connections int
+	// ColdTime is how long a server is slow after its start, and ColdRate the number of requests per second that it tolerates
+	// meanwhile; 0 if it tolerates any.
+	ColdTime time.Duration
+	ColdRate float64
+	// ColdStarts is the number of requests that one VM sends a cold server in a second at most, 0 if there is no limit.
+	ColdStarts int
 }
 
 // Account is a client account.
@@ -98,8 +104,10 @@
 	Slots   int
 	// Leaving servers accept no new requests.
 	Leaving bool
-	// Cold is the remaining time of the server's warm-up, in which it is slow.
+	// Cold is the remaining time of the server's warm-up, in which it is slow, as the server said.
 	Cold time.Duration
+	// ColdUntil is the end of the warm-up by the clock of this VM. The zero time says that the server is warm.
+	ColdUntil time.Time
 	// Born is the Unix time of the server's start in milliseconds, 0 if unknown. It distinguishes a restarted server
 	// from the previous process with the same ID.
 	Born int64
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -41,6 +41,8 @@
 	DecodeServer func(id string, data []byte) (guavatraffic.Server, error)
 	// ConfigTable and ConfigKey are the table and key of the configuration, ServerTable is the table of the servers.
 	ConfigTable, ConfigKey, ServerTable string
+	// EvacuationPrefix begins the keys of the rows in ConfigTable that name evacuated failure domains, "" if there are none.
+	EvacuationPrefix string
 }
 
 const (
@@ -143,7 +145,7 @@
 		Incarnation: uint64(time.Now().UnixNano()), //nolint:gosec // the year is after 1970
 	}}
 	e := &Edge{metrics: metrics, settings: s, network: network, platform: p, logger: logger, replicator: newReplicator(), drain: make(chan struct{})}
-	e.registry = newRegistry(self, p, logger, e.update, e.updateServers)
+	e.registry = newRegistry(self, p, guavatraffic.ColdTolerance{Overage: s.ColdOverage, Slack: s.ColdSlack}, logger, e.update, e.updateServers)
 	config := e.registry.config.Load
 	e.client = guavacoord.New(self, func() *guavatraffic.Config {
 		if c := config(); c != nil {
--- a/io/guavaedge/metrics.go
+++ b/io/guavaedge/metrics.go
@@ -135,6 +135,14 @@
 			return e.vms.Outage(time.Now()).Milliseconds()
 		}},
 		{"guavaridge_servers", "backend servers known", func() int64 { return int64(e.registry.servers.Load().Len()) }},
+		{"guavaridge_servers_evacuated", "backend servers of evacuated failure domains", func() int64 {
+			evacuated, _ := e.registry.countServers()
+			return evacuated
+		}},
+		{"guavaridge_servers_cold", "backend servers that are cold", func() int64 {
+			_, cold := e.registry.countServers()
+			return cold
+		}},
 		{"guavaridge_vms", "VMs known", func() int64 { return int64(len(e.registry.list())) }},
 		{"guavaridge_bans", "bans of requests that crash servers", func() int64 { return int64(e.client.Bans()) }},
 		{"guavaridge_goroutines", "goroutines of the process", func() int64 { return int64(runtime.NumGoroutine()) }},
--- a/io/guavaedge/registry.go
+++ b/io/guavaedge/registry.go
@@ -90,20 +90,26 @@
 	leaving    bool      // the row has been removed or is about to be
 	// invalid holds the revisions of the invalid rows that were logged, by key. Snapshots contain them again.
 	invalid map[string]uint64
+	// evacuated are the failure domains whose servers get no requests.
+	evacuated map[string]bool
+
+	coldTolerance guavatraffic.ColdTolerance
 }
 
-func newRegistry(self guavacoord.VM, p Platform, l hclog.Logger, onChange, onServerChange func()) *registry {
+func newRegistry(self guavacoord.VM, p Platform, t guavatraffic.ColdTolerance, l hclog.Logger, onChange, onServerChange func()) *registry {
 	r := &registry{
 		self: self, platform: p, logger: l, onChange: onChange, onServerChange: onServerChange,
 		writing: make(chan struct{}, 1), lost: make(chan struct{}, 1),
 		roster: guavaroster.New(), vms: map[string]guavacoord.VM{self.Name: self}, invalid: map[string]uint64{},
+		evacuated: map[string]bool{}, coldTolerance: t,
 	}
 	r.servers.Store(r.roster.List())
 	return r
 }
 
 // applyConfig implements guavaview.Apply for the operator's table.
-func (r *registry) applyConfig(changes []guavaplatform.RowChange, _ bool) {
+func (r *registry) applyConfig(changes []guavaplatform.RowChange, full bool) {
+	r.applyEvacuations(changes, full)
 	for _, c := range changes {
 		if c.Key != r.platform.ConfigKey || c.Removed {
 			continue
@@ -117,6 +123,7 @@
 			r.logger.Error("older configuration ignored", "version", config.Version, "in_force", old.Version)
 			continue
 		}
+		config = config.WithColdTolerance(r.coldTolerance)
 		r.config.Store(config)
 		r.logger.Info("configuration in force", "version", config.Version, "routes", len(config.Routes),
 			"accounts", len(config.Accounts))
@@ -124,6 +131,55 @@
 	r.onChange()
 }
 
+// applyEvacuations updates the set of evacuated failure domains, each of which has a row while it is evacuated.
+func (r *registry) applyEvacuations(changes []guavaplatform.RowChange, full bool) {
+	r.mu.Lock()
+	if full {
+		clear(r.evacuated)
+	}
+	for _, c := range changes {
+		domain, ok := strings.CutPrefix(c.Key, r.platform.EvacuationPrefix)
+		switch {
+		case !ok || r.platform.EvacuationPrefix == "":
+		case c.Removed:
+			delete(r.evacuated, domain)
+		default:
+			r.evacuated[domain] = true
+		}
+	}
+	domains := slices.Sorted(maps.Keys(r.evacuated))
+	changed := r.roster.SetEvacuated(time.Now(), domains, func(service string) time.Duration {
+		if c := r.config.Load(); c != nil {
+			return c.Services[service].ColdTime
+		}
+		return 0
+	})
+	if changed {
+		r.publishServers()
+		r.logger.Info("evacuation", "domains", strings.Join(domains, ","))
+	}
+	r.mu.Unlock()
+	if changed {
+		r.onServerChange()
+	}
+}
+
+// countServers returns the numbers of servers in evacuated failure domains and of cold servers.
+func (r *registry) countServers() (evacuated, cold int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for _, s := range r.servers.Load().Servers() {
+		if r.evacuated[s.Domain] {
+			evacuated++
+		}
+		if now.Before(s.ColdUntil) {
+			cold++
+		}
+	}
+	return evacuated, cold
+}
+
 // applyServers implements guavaview.Apply for the table of servers.
 func (r *registry) applyServers(changes []guavaplatform.RowChange, full bool) {
 	now := time.Now()
@@ -147,6 +203,9 @@
 		if old, ok := r.roster.Entry(id); !ok || old.Leaving != s.Leaving || old.Born != s.Born {
 			r.logger.Info("server", "server", id, "service", s.Service, "address", s.Address, "leaving", s.Leaving)
 		}
+		if s.Cold > 0 {
+			s.ColdUntil = now.Add(s.Cold)
+		}
 		list = append(list, s)
 		if !full {
 			changed = r.roster.Put(s) || changed
--- a/io/guavaedge/settings.go
+++ b/io/guavaedge/settings.go
@@ -36,6 +36,10 @@
 	// account, since its limit is split between VMs.
 	Overage float64 `json:"overage"`
 	Slack   float64 `json:"slack"`
+	// ColdOverage (a factor) and ColdSlack (requests per second) are the tolerance beyond the rate of a cold server; if both are 0,
+	// cold servers get any number of requests.
+	ColdOverage float64 `json:"coldoverage"`
+	ColdSlack   float64 `json:"coldslack"`
 	// Window is the time in seconds over which the requests of an account are counted, 0 for the default.
 	Window float64 `json:"window"`
 	// Lines is the maximum number of log lines per second, 0 for the default.
