--- a/core/guavaquota/allocator.go
+++ b/core/guavaquota/allocator.go
@@ -145,7 +145,7 @@
 	if d.Earlier.At.After(b.earlier.At) {
 		b.earlier = d.Earlier
 	}
-	room := int(a.tolerance.granted(account)*a.share) - b.total(now, a.tolerance.window())
+	room := int(a.tolerance.granted(account)*a.share) - b.total(now, a.tolerance.window(), a.share)
 	granted = min(d.Want, int(level)+int(b.initial), room)
 	if granted <= 0 {
 		return 0, time.Duration(max(1-level, 1) / float64(b.limiter.Limit()) * float64(time.Second))
@@ -161,15 +161,17 @@
 // Total returns the number of tokens of an account that all VMs have got in the last window, as far as this owner knows.
 func (a *Allocator) Total(now time.Time, account string) int {
 	if b := a.buckets[account]; b != nil {
-		return b.total(now, a.tolerance.window())
+		return b.total(now, a.tolerance.window(), a.share)
 	}
 	return 0
 }
 
 // total returns the number of tokens that all VMs have got in the last window. VMs that were lost and those that have not yet
-// turned to this owner report none, but an earlier owner may have counted theirs.
-func (b *bucket) total(now time.Time, window time.Duration) int {
-	return max(b.reports.sum(now, window), b.earlier.left(now, window)+b.granted.sum(now, window))
+// turned to this owner report none, but an earlier owner may have counted theirs. In a partition, this owner takes over its share
+// of them.
+func (b *bucket) total(now time.Time, window time.Duration, share float64) int {
+	earlier := int(share * float64(b.earlier.left(now, window)))
+	return max(b.reports.sum(now, window), earlier+b.granted.sum(now, window))
 }
 
 // setLimits sets a bucket to this owner's share of the account's rate and burst.
--- a/core/guavaquota/takeover_test.go
+++ b/core/guavaquota/takeover_test.go
@@ -107,3 +107,49 @@
 		}
 	})
 }
+
+// TestPartitionWithinRate guards against refusals on the smaller side of a partition while the account stays within its rate, because
+// the new owner there counts what the whole fleet has got.
+func TestPartitionWithinRate(t *testing.T) {
+	const (
+		vms      = 9
+		interval = 150 * time.Millisecond // of the requests at each VM: 60 a second in all
+		cut      = 10 * time.Second
+	)
+	a := guavatraffic.Account{Name: "calm", Rate: 100, Burst: 100}
+	owners := [2]*guavaquota.Allocator{guavaquota.NewAllocator(tolerance), guavaquota.NewAllocator(tolerance)}
+	fleet := make([]guavaquota.TokenCache, vms)
+	refused, served := 0, 0
+	for n := range 200 {
+		for i := range fleet {
+			now := epoch.Add(time.Duration(n)*interval + time.Duration(i)*interval/vms)
+			side, share := 0, 1.0
+			if now.Sub(epoch) >= cut {
+				if side, share = 0, 7.0/vms; i >= 7 {
+					side, share = 1, 2.0/vms
+				}
+			}
+			v, o, process := &fleet[i], owners[side], fmt.Sprint(side)
+			o.SetShare(now, share)
+			_, ok := v.Use(now)
+			if !ok {
+				d := guavaquota.Demand{VM: fmt.Sprint(i), Recent: v.Recent(now, tolerance), Earlier: v.Total(), Want: max(v.Want(1), 1)}
+				if d.Earlier.Owner == process {
+					d.Earlier = guavaquota.Total{}
+				}
+				granted, after := o.Take(now, a, d)
+				v.Add(now, now, granted, after, guavaquota.Total{Owner: process, Tokens: o.Total(now, a.Name), At: now}, tolerance)
+				_, ok = v.Use(now)
+			}
+			switch {
+			case ok:
+				served++
+			case now.Sub(epoch) > time.Second: // a new bucket starts nearly empty
+				refused++
+			}
+		}
+	}
+	if refused > served/1000 {
+		t.Errorf("%d requests were refused and %d served, want none refused", refused, served)
+	}
+}
