Use load reports with a pace, and place by it

Change: reports of four figures count. Where servers report their pace, online requests go to the server that would be done with them first, and run times are expected by the pace. Servers without a pace are ranked as before.

--- a/core/guavaplace/dispatch.go
+++ b/core/guavaplace/dispatch.go
@@ -149,6 +149,7 @@
 	if w.Class == Batch {
 		duration = e.remaining(w.Work)
 	}
+	duration = time.Duration(float64(duration) * v.pace.mean())
 	return &run{
 		request: w.Request, server: v, startedAt: startedAt, expectedEnd: startedAt.Add(duration), deadline: w.deadline,
 	}
--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -124,6 +124,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the server's machine at this moment, relative to the usual time; 0 if unknown.
+	Pace float64
 }
 
 // Report tells the scheduler how a run ended.
--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -129,6 +129,7 @@
 	r.responding = true
 	if l != nil {
 		r.server.foreignLoad, r.server.loadReportedAt = max(l.Running+l.Waiting-len(r.server.runs), 0), now
+		r.server.pace.report(now, l.Pace)
 	}
 }
 
@@ -169,6 +170,7 @@
 	elapsed := now.Sub(r.startedAt)
 	if p.Outcome == Done && elapsed > 0 && !r.silent && (p.Work > 0 || r.request.Class == Online) {
 		e := s.estimate(r.request.Class)
+		elapsed = time.Duration(float64(elapsed) / r.server.pace.mean())
 		expected := e.duration(r.request.Work)
 		if p.Work > 0 && e.secondsPerToken.known {
 			expected = e.remaining(p.Work)
--- a/core/guavaplace/server.go
+++ b/core/guavaplace/server.go
@@ -69,6 +69,7 @@
 	lastConnectionLoss time.Time           // when a connection loss or timeout was last counted
 	limited            bool                // runs one request at a time
 	slowdown           average             // actual run time divided by the expected one
+	pace               pace                // how long work takes there, as reported
 	prefixes           []uint64            // recently used prompt prefixes, newest last
 	coldStarts         []time.Time         // of the runs of the last second that began while the server was cold
 	maxColdStarts      int                 // 0 if there is no limit
@@ -161,10 +162,14 @@
 	return s.memory == 0 || len(s.runs) == 0 || float64(s.tokens+r.Tokens) <= memoryShare*float64(s.memory)
 }
 
-// score ranks servers that fit; lower is better. The share of slots in use dominates. A slow or failing server ranks
-// behind healthy ones; a cached prefix and the same failure domain break ties.
+// score ranks servers that fit; lower is better. The share of slots in use dominates, or for online requests, where servers report
+// their pace, how soon the request would be done. A slow or failing server ranks behind healthy ones; a cached prefix and the same
+// failure domain break ties.
 func (s *server) score(now time.Time, r *Request) float64 {
 	v := float64(s.used(now)) / float64(s.slots())
+	if r.Class != Batch && s.pace.isKnown() {
+		v = s.pace.at(now) * (1 + v) / 2
+	}
 	if s.isSlow() {
 		v += 2
 	}
