Don't deny tokens for longer than their refill takes

Change: the wait is that of the bucket again, or a slot of the window if that is what binds; shares of a window are rounded up.

--- a/core/guavaquota/allocator.go
+++ b/core/guavaquota/allocator.go
@@ -145,10 +145,14 @@
 	if d.Earlier.At.After(b.earlier.At) {
 		b.earlier = d.Earlier
 	}
-	room := int(a.tolerance.granted(account)*a.share) - b.total(now, a.tolerance.window(), a.share)
+	room := int(math.Ceil(a.tolerance.granted(account)*a.share)) - b.total(now, a.tolerance.window(), a.share)
 	granted = min(d.Want, int(level)+int(b.initial), room)
 	if granted <= 0 {
-		return 0, time.Duration(max(1-level, 1) / float64(b.limiter.Limit()) * float64(time.Second))
+		after = time.Duration(max(1-level, 0) / float64(b.limiter.Limit()) * float64(time.Second))
+		if room <= 0 {
+			after = max(after, a.tolerance.window()/windowSlots)
+		}
+		return 0, after
 	}
 	b.reports[d.VM] = report{tokens: d.Recent + granted, at: now, fresh: d.Fresh}
 	b.granted.add(now, a.tolerance.window(), granted)
--- a/core/guavaquota/takeover_test.go
+++ b/core/guavaquota/takeover_test.go
@@ -153,3 +153,27 @@
 		t.Errorf("%d requests were refused and %d served, want none refused", refused, served)
 	}
 }
+
+// TestSmallAccountAtTakeover guards against a new owner that refuses a small account until all VMs have turned to it, and against
+// a wait for a token that is longer than its refill takes.
+func TestSmallAccountAtTakeover(t *testing.T) {
+	a := guavatraffic.Account{Name: "small", Rate: 1, Burst: 2}
+	o := guavaquota.NewAllocator(tolerance)
+	o.SetShare(epoch, 1.0/76)
+	demand := guavaquota.Demand{VM: "v", Earlier: guavaquota.Total{Owner: "before", Tokens: 4, At: epoch.Add(-time.Second)}, Want: 1}
+	if n, after := o.Take(epoch, a, demand); n != 1 {
+		t.Errorf("first request refused for %v, want a token", after)
+	}
+	o.SetShare(epoch, 1)
+	demand.VM = "w"
+	now := epoch
+	for {
+		n, after := o.Take(now, a, demand)
+		if n > 0 {
+			break
+		}
+		if now = now.Add(max(after, time.Millisecond)); now.Sub(epoch) > 1100*time.Millisecond {
+			t.Fatalf("no token after %v, want one after the second of its refill at the latest", now.Sub(epoch))
+		}
+	}
+}
