Let repeats of failed requests go first

Change: repeats, and streams that go on after a failure, are not refused at once and go before new requests of the same priority, whose callers can be told when to retry.

TestRepeatsGoFirst is new.

--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -36,6 +36,8 @@
 	Due time.Duration
 	// Returning marks a retry of a request that was refused before.
 	Returning bool
+	// Repeat marks a request after an attempt that may have been executed. Its caller can't be told to retry it.
+	Repeat bool
 	// Tokens is the engine memory that the request needs, in tokens.
 	Tokens int
 	// Work is the expected number of output tokens, 0 if unknown.
--- a/core/guavaplace/scheduler_test.go
+++ b/core/guavaplace/scheduler_test.go
@@ -485,3 +485,19 @@
 	s.Restore(epoch, guavaplace.ActiveRun{Request: held, Server: "s0"})
 	want(t, "removal of the VM", s.RemoveVM(epoch, "v"))
 }
+
+// TestRepeatsGoFirst guards against requests that are refused after a failed attempt, which leaves their callers with a failure, while
+// new requests, whose callers can return, get the slots of a service in overload.
+func TestRepeatsGoFirst(t *testing.T) {
+	s := newScheduler(1, 1)
+	want(t, "the only slot", s.Submit(epoch, online(1)), "1 run")
+	want(t, "waits for it", s.Submit(at(time.Millisecond), online(2)), "2 refuse")
+	repeat := online(3)
+	repeat.Repeat, repeat.Start = true, 0
+	want(t, "repeat without time to its target", s.Submit(at(2*time.Millisecond), repeat), "3 wait")
+	waiting := online(4)
+	waiting.Start = time.Second
+	want(t, "new request with time", s.Submit(at(3*time.Millisecond), waiting), "4 wait")
+	want(t, "slot is free", s.Release(at(100*time.Millisecond), guavaplace.Report{Key: online(1).Key, Outcome: guavaplace.Done}), "3 run")
+	want(t, "slot is free again", s.Release(at(200*time.Millisecond), guavaplace.Report{Key: repeat.Key, Outcome: guavaplace.Done}), "4 run")
+}
--- a/core/guavaplace/waiting.go
+++ b/core/guavaplace/waiting.go
@@ -42,6 +42,9 @@
 	w.startBy = now.Add(r.Start - e.firstByte() - networkMargin)
 	w.refuseAt = now.Add(r.Patience)
 	w.reviewAt = now.Add(r.Start / reviewDivisor)
+	if r.Repeat {
+		w.startBy, w.reviewed = w.refuseAt, true
+	}
 	return w
 }
 
@@ -75,13 +78,20 @@
 	return a.startBy.Compare(b.startBy)
 }
 
-// compareOnline orders online requests by priority, then new requests before retries, then by latest start. In an
+// compareOnline orders online requests by priority, then repeats before others, since a refusal leaves their callers with a failure, then
+// new requests before retries, then by latest start. In an
 // overload that lasts longer than callers wait, serving retries first would delay new requests until they miss their
 // target, and nearly all callers would be served at their second attempt instead of the first.
 func compareOnline(a, b *waitingRequest) int {
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
+	if a.Repeat != b.Repeat {
+		if a.Repeat {
+			return -1
+		}
+		return 1
+	}
 	if a.Returning != b.Returning {
 		if b.Returning {
 			return -1
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -129,7 +129,7 @@
 func (c *call) acquire(ctx context.Context, avoid []string, patient bool) (*guavacoord.Reservation, error) {
 	g := c.gate
 	r := guavaplace.Request{
-		Class: guavaplace.Online, Priority: c.config.Priority(c.route, c.account), Returning: patient,
+		Class: guavaplace.Online, Priority: c.config.Priority(c.route, c.account), Returning: patient, Repeat: c.executions > 0,
 		Tokens: c.request.Tokens, Work: float64(c.request.Output), Affinity: c.request.Affinity,
 		Content: c.fingerprintSum, Parts: guavapoison.PartTraits(c.request.Parts),
 	}
@@ -140,7 +140,7 @@
 		now := time.Now()
 		remaining := c.deadline.Sub(now)
 		share := maxWaitShare
-		if patient {
+		if patient || r.Repeat {
 			share = retryMaxWaitShare
 		}
 		r.Start = c.route.Target - now.Sub(c.arrived)
