Send a copy of a slow request, within a limit

Change: a request that may be repeated and is slower than a quantile of its route's recent ones is sent to a second server with spare room, within a share of all requests that the settings give for each route. Off by default.

--- a/core/guavaplace/headroom.go
+++ b/core/guavaplace/headroom.go
@@ -24,6 +24,21 @@
 	return n
 }
 
+// spareShare is the share of the slots that has to be free for copies of running requests.
+const spareShare = 0.25
+
+// hasSpareRoom reports whether copies of running requests may use free slots: never while requests wait, so that copies add nothing to
+// a wave.
+func (s *Scheduler) hasSpareRoom(now time.Time) bool {
+	slots := 0
+	for _, v := range s.servers {
+		if !v.Leaving {
+			slots += v.slots()
+		}
+	}
+	return len(s.online)+len(s.late) == 0 && float64(s.freeSlots(now)) >= spareShare*float64(slots)
+}
+
 // recordArrival adds an online arrival to the arrival rate.
 func (s *Scheduler) recordArrival(now time.Time) {
 	s.arrivalRate = s.arrivalRateAt(now) + 1/arrivalRateWindow.Seconds()
--- a/core/guavaplace/request.go
+++ b/core/guavaplace/request.go
@@ -36,6 +36,8 @@
 	Due time.Duration
 	// Returning marks a retry of a request that was refused before.
 	Returning bool
+	// Spare marks a copy of a running request. It gets a free slot while many are free, and is refused at once otherwise.
+	Spare bool
 	// Repeat marks a request after an attempt that may have been executed. Its caller can't be told to retry it.
 	Repeat bool
 	// Tokens is the engine memory that the request needs, in tokens.
--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -79,7 +79,16 @@
 func (s *Scheduler) Submit(now time.Time, r Request) []Decision {
 	s.resetDecisions()
 	w := newWaitingRequest(now, r, s.estimate(r.Class))
-	if s.refuseCrashing(now, w) || s.try(now, w) {
+	if s.refuseCrashing(now, w) {
+		return s.decisions
+	}
+	if r.Spare {
+		if !s.hasSpareRoom(now) || !s.scheduleFree(now, w) {
+			s.decide(Decision{Key: r.Key, Action: Refuse, After: maxRetryAfter, Reason: "no spare room"})
+		}
+		return s.decisions
+	}
+	if s.try(now, w) {
 		return s.decisions
 	}
 	if r.Class == Batch {
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -181,7 +181,7 @@
 	e.gate = guavagate.New(guavagate.Dependencies{
 		Protocol: p.Wire, Admission: localAdmission{e.client, s.Domain}, Jobs: e.batch, Sender: sender,
 		Bodies: guavabudget.NewShares[string](budget, int(accountShare*float64(buffers))),
-		Config: config, Stale: e.isStale, Status: e.registry.status, Metrics: requests, Logger: logger,
+		Config: config, Stale: e.isStale, Status: e.registry.status, Hedge: s.Hedge.policy, Metrics: requests, Logger: logger,
 	}, s.connections())
 	e.config = guavaview.New(p.Store, p.ConfigTable, []string{""}, guavaview.DefaultWait, e.registry.applyConfig, logger)
 	e.servers = guavaview.New(p.Store, p.ServerTable, []string{""}, guavaview.DefaultWait, e.registry.applyServers, logger)
--- a/io/guavaedge/settings.go
+++ b/io/guavaedge/settings.go
@@ -1,11 +1,14 @@
 package guavaedge
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
 	"time"
+
+	"guavaridge/core/guavahedge"
 )
 
 // Settings are the settings of a VM's process, a JSON object. Unknown fields are ignored.
@@ -40,12 +43,47 @@
 	// cold servers get any number of requests.
 	ColdOverage float64 `json:"coldoverage"`
 	ColdSlack   float64 `json:"coldslack"`
+	// Hedge limits the copies of slow requests that may be repeated; without it, none are sent.
+	Hedge Hedge `json:"hedge"`
 	// Window is the time in seconds over which the requests of an account are counted, 0 for the default.
 	Window float64 `json:"window"`
 	// Lines is the maximum number of log lines per second, 0 for the default.
 	Lines int `json:"lines"`
 }
 
+// Hedge is the limit of copies of slow requests.
+type Hedge struct {
+	// Share is the number of copies per request, and Routes that of single routes by name, from 0 to 1.
+	Share  float64            `json:"share"`
+	Routes map[string]float64 `json:"routes"`
+	// Quantile is the share of requests, by the time to their first byte, that get no copy; 0 for the default.
+	Quantile float64 `json:"quantile"`
+}
+
+// defaultQuantile is the default of Hedge.Quantile.
+const defaultQuantile = 0.95
+
+// policy returns the limit for a route.
+func (h Hedge) policy(route string) guavahedge.Policy {
+	share, ok := h.Routes[route]
+	if !ok {
+		share = h.Share
+	}
+	return guavahedge.Policy{Share: share, Quantile: cmp.Or(h.Quantile, defaultQuantile)}
+}
+
+func (h Hedge) check() error {
+	for name, share := range h.Routes {
+		if !(share >= 0 && share <= 1) {
+			return fmt.Errorf("hedge of route %s is %v, want a share of 0 to 1", name, share)
+		}
+	}
+	if !(h.Share >= 0 && h.Share <= 1) || !(h.Quantile >= 0 && h.Quantile < 1) {
+		return fmt.Errorf("hedge has share %v and quantile %v, want 0 to 1", h.Share, h.Quantile)
+	}
+	return nil
+}
+
 // defaultSettle is the default of Settings.Settle in seconds, the time of two reads of a client.
 const defaultSettle = 1
 
@@ -91,7 +129,7 @@
 	if s.Settle < 0 {
 		return fmt.Errorf("settle is %v, want a time in seconds, or 0 for the default", s.Settle)
 	}
-	return nil
+	return s.Hedge.check()
 }
 
 // connections returns the number of connections of callers that the descriptors and the memory of the VM allow.
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -35,8 +36,10 @@
 	account string
 	service string
 	message fasthttp.Request
-	body    []byte
-	held    *guavabudget.SharedHolder[string] // memory of the body, nil if it holds none
+	// outgoingMu serializes reads of the message's header, which change its internal state.
+	outgoingMu sync.Mutex
+	body       []byte
+	held       *guavabudget.SharedHolder[string] // memory of the body, nil if it holds none
 
 	runCtx         context.Context
 	cancel         context.CancelCauseFunc // nil before begin
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -71,7 +71,7 @@
 		c.failAcquire(err)
 		return false, false
 	}
-	x, err := c.send(reservation, c.request.LastEventID, guavasilence.Headers)
+	x, reservation, err := c.sendHedged(reservation)
 	if err != nil {
 		return false, c.handleSendError(reservation, err)
 	}
@@ -175,8 +175,28 @@
 // send sends the request to the server of the reservation and reads the status and headers of the response, which are
 // the given phase.
 func (c *call) send(
-	reservation *guavacoord.Reservation, lastEventID int, p guavasilence.Phase,
+	ctx context.Context, reservation *guavacoord.Reservation, lastEventID int, p guavasilence.Phase,
 ) (*guavasend.Exchange, error) {
+	r := c.outgoing(reservation, lastEventID)
+	// The coordinator learns of a silent server also if the request waits for it until its deadline.
+	report := time.AfterFunc(guavasilence.ResponseTimeout(c.route), reservation.Silent)
+	defer report.Stop()
+	// The exchange ends with this context; its end releases the context of the attempt, that of the call at the latest.
+	ctx, interrupt := context.WithCancelCause(ctx)
+	c.interrupt = interrupt
+	watch := c.watchSilence(p, interrupt)
+	x, err := c.gate.Sender.Send(ctx, r)
+	if interrupted := watch.stop(); interrupted && err == nil {
+		x.Close()
+		return nil, &guavasend.Error{Sent: true, Err: errSilent}
+	}
+	return x, err //nolint:wrapcheck // handleSendError unwraps it
+}
+
+// outgoing returns the request as it is sent to the server of a reservation.
+func (c *call) outgoing(reservation *guavacoord.Reservation, lastEventID int) guavasend.Request {
+	c.outgoingMu.Lock()
+	defer c.outgoingMu.Unlock()
 	q := &fasthttp.Request{}
 	c.message.Header.CopyTo(&q.Header)
 	q.SetBodyRaw(c.message.Body())
@@ -192,19 +212,7 @@
 	if r.Repeatable {
 		r.MaxIdle = repeatableMaxIdle
 	}
-	// The coordinator learns of a silent server also if the request waits for it until its deadline.
-	report := time.AfterFunc(guavasilence.ResponseTimeout(c.route), reservation.Silent)
-	defer report.Stop()
-	// The exchange ends with this context; its end releases the context of the attempt, that of the call at the latest.
-	ctx, interrupt := context.WithCancelCause(c.runCtx)
-	c.interrupt = interrupt
-	watch := c.watchSilence(p, interrupt)
-	x, err := c.gate.Sender.Send(ctx, r)
-	if interrupted := watch.stop(); interrupted && err == nil {
-		x.Close()
-		return nil, &guavasend.Error{Sent: true, Err: errSilent}
-	}
-	return x, err //nolint:wrapcheck // handleSendError unwraps it
+	return r
 }
 
 // outcome returns the outcome of an attempt that failed with err.
--- a/io/guavagate/gateway.go
+++ b/io/guavagate/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavaridge/core/guavabudget"
+	"guavaridge/core/guavahedge"
 	"guavaridge/core/guavaplace"
 	"guavaridge/core/guavaroster"
 	"guavaridge/core/guavatraffic"
@@ -51,6 +52,8 @@
 	Stale func() bool
 	// Status returns whether a server accepts requests for the service, by this VM's own server list.
 	Status func(service string, server guavatraffic.Incarnation) guavaroster.Status
+	// Hedge returns the limit of copies for a route; nil means that none are sent.
+	Hedge func(route string) guavahedge.Policy
 	// Metrics record the course of requests.
 	Metrics Metrics
 	Logger  hclog.Logger
@@ -85,6 +88,9 @@
 	// OverLimit counts the requests that exceeded a limit of the configuration, OverMemory those for which the VM had no memory,
 	// and Evicted the connections that were closed to make room for others.
 	OverLimit, OverMemory, Evicted atomic.Uint64
+	// Hedged counts the copies of slow requests that were sent, HedgesWon those that responded first, and HedgesHeld those that
+	// the limit or a lack of spare room has prevented.
+	Hedged, HedgesWon, HedgesHeld atomic.Uint64
 }
 
 const (
@@ -133,12 +139,13 @@
 	mu             sync.Mutex
 	listeners      []*guavalisten.Listener
 	retryDetectors map[string]*guavaplace.RetryDetector // by route
+	hedgers        map[string]*guavahedge.Hedger        // by route
 }
 
 // New returns a gateway that serves no listener yet. It serves at most the given number of connections at a time.
 func New(d Dependencies, connections int) *Gateway {
 	d.Metrics = d.Metrics.withDefaults()
-	g := &Gateway{Dependencies: d, retryDetectors: map[string]*guavaplace.RetryDetector{}}
+	g := &Gateway{Dependencies: d, retryDetectors: map[string]*guavaplace.RetryDetector{}, hedgers: map[string]*guavahedge.Hedger{}}
 	g.base, g.stop = context.WithCancelCause(context.Background())
 	g.http = &fasthttp.Server{
 		Handler:            g.handle,
--- a/io/guavagate/response.go
+++ b/io/guavagate/response.go
@@ -325,7 +325,7 @@
 // resumeOn sends the request for the rest of the stream to the server of a reservation.
 func (s *stream) resumeOn(reservation *guavacoord.Reservation) error {
 	c := s.call
-	x, err := c.send(reservation, s.lastEventID, guavasilence.ResumedHeaders)
+	x, err := c.send(c.runCtx, reservation, s.lastEventID, guavasilence.ResumedHeaders)
 	if err != nil {
 		outcome := c.outcome(err)
 		reservation.Release(outcome, 0)
