--- a/core/guavahedge/hedger_test.go
+++ b/core/guavahedge/hedger_test.go
@@ -23,7 +23,7 @@
 func replay(p guavahedge.Policy, n int, first, second func(i int, r *rand.Rand) time.Duration) outcome {
 	h := guavahedge.New(p)
 	random := rand.New(rand.NewPCG(1, 2))
-	var times []time.Duration
+	times := make([]time.Duration, 0, n)
 	copies := 0
 	for i := range n {
 		took := first(i, random)
--- a/core/guavaplace/scheduler.go
+++ b/core/guavaplace/scheduler.go
@@ -110,7 +110,7 @@
 	if ahead == 0 && s.schedule(now, w) {
 		return
 	}
-	if !s.startsInTime(now, w, ahead) && !(w.Repeat && s.reachable(now, w.Domain)) {
+	if !s.startsInTime(now, w, ahead) && (!w.Repeat || !s.reachable(now, w.Domain)) {
 		if !w.Returning || !s.reachable(now, w.Domain) {
 			s.refuse(now, w, "overload")
 			return
