Check a configuration before it is sent

Cause: errors of a configuration, such as a route that can never match, were seen only once it was in force.

Change: guavaedge config check FILE [--against FILE] [--json] reports errors, entries without an effect, limits that contradict each other and changes.

--- a/cmd/guavaedge/main.go
+++ b/cmd/guavaedge/main.go
@@ -44,6 +44,7 @@
 				Name: "explain", Usage: "print the timeline of a request, job or item from log files of VMs", ArgsUsage: "ID FILE...",
 				Action: explain,
 			},
+			configCommand(),
 			{Name: "check", Usage: "validate the settings file", Flags: []cli.Flag{config}, Action: check},
 		},
 	}
