Don't prefer servers to which a VM has an idle connection

At light load every tie went to the same server, so that one that had just come got no requests: TestOddServers failed in 4 of 4 runs (server i-4 was not used). A choice that keeps connections without leaving servers idle is open.

--- a/core/guavaplace/server.go
+++ b/core/guavaplace/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -64,21 +63,20 @@
 	tokens             int
 	foreignLoad        int // slots used by requests that this scheduler did not send, as of loadReportedAt
 	loadReportedAt     time.Time
-	breakers           map[string]*breaker  // by failure domain of the sending VM
-	failureRatio       movingRatio          // failed runs, with or without a response
-	errorRatio         movingRatio          // runs that failed with a response; these fail fast
-	lastConnectionLoss time.Time            // when a connection loss or timeout was last counted
-	limited            bool                 // runs one request at a time
-	slowdown           average              // actual run time divided by the expected one
-	pace               pace                 // how long work takes there, as reported
-	prefixes           []uint64             // recently used prompt prefixes, newest last
-	served             map[string]time.Time // end of the last complete run of a VM, by VM
-	coldStarts         []time.Time          // of the runs of the last second that began while the server was cold
-	maxColdStarts      int                  // 0 if there is no limit
+	breakers           map[string]*breaker // by failure domain of the sending VM
+	failureRatio       movingRatio         // failed runs, with or without a response
+	errorRatio         movingRatio         // runs that failed with a response; these fail fast
+	lastConnectionLoss time.Time           // when a connection loss or timeout was last counted
+	limited            bool                // runs one request at a time
+	slowdown           average             // actual run time divided by the expected one
+	pace               pace                // how long work takes there, as reported
+	prefixes           []uint64            // recently used prompt prefixes, newest last
+	coldStarts         []time.Time         // of the runs of the last second that began while the server was cold
+	maxColdStarts      int                 // 0 if there is no limit
 }
 
 func newServer(s guavatraffic.Server, memory int) *server {
-	return &server{Server: s, memory: memory, runs: map[Key]*run{}, breakers: map[string]*breaker{}, served: map[string]time.Time{}}
+	return &server{Server: s, memory: memory, runs: map[Key]*run{}, breakers: map[string]*breaker{}}
 }
 
 func (s *server) slots() int {
@@ -165,8 +163,8 @@
 }
 
 // score ranks servers that fit; lower is better. The share of slots in use dominates, or for online requests, where servers report
-// their pace, how soon the request would be done. A slow or failing server ranks behind healthy ones; a cached prefix, the same
-// failure domain and a connection that the VM may reuse break ties.
+// their pace, how soon the request would be done. A slow or failing server ranks behind healthy ones; a cached prefix and the same
+// failure domain break ties.
 func (s *server) score(now time.Time, r *Request) float64 {
 	v := float64(s.used(now)) / float64(s.slots())
 	if r.Class != Batch && s.pace.isKnown() {
@@ -185,28 +183,9 @@
 	if s.Domain == r.Domain {
 		v -= 0.1
 	}
-	if now.Sub(s.served[r.Key.VM]) < reuseWindow {
-		v -= 0.05
-	}
 	return v
 }
 
-const (
-	// reuseWindow is how long after a run its VM probably still has an idle connection to the server. Many VMs send to many servers,
-	// so that without regard to that nearly each request opens a connection.
-	reuseWindow = 2 * time.Second
-	// maxServed is the number of VMs above which those without a recent run are forgotten.
-	maxServed = 32
-)
-
-// recordServed records that a VM has got a complete response from the server.
-func (s *server) recordServed(now time.Time, vm string) {
-	s.served[vm] = now
-	if len(s.served) > maxServed {
-		maps.DeleteFunc(s.served, func(_ string, at time.Time) bool { return now.Sub(at) >= reuseWindow })
-	}
-}
-
 func (s *server) isSlow() bool { return s.slowdown.or(1) > slowFactor }
 
 func (s *server) add(r *run) {
@@ -241,7 +220,6 @@
 	domain := r.request.Domain
 	switch o {
 	case Done:
-		s.recordServed(now, r.request.Key.VM)
 		delete(s.breakers, domain)
 		s.failureRatio.add(false)
 		s.errorRatio.add(false)
