--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -17,7 +17,7 @@
 
 func main() {
 	scenarios := map[string]func(record string, trouble bool) int{
-		"moved": playMovedRoute, "burst": playBurst, "owners": playOwners, "takeover": playTakeover,
+		"moved": playMovedRoute, "line": playLongLine, "burst": playBurst, "owners": playOwners, "takeover": playTakeover,
 	}
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 SCENARIO FOLDER")
