--- a/review/_standin2/moved.go
+++ b/review/_standin2/moved.go
@@ -105,17 +105,17 @@
 			continue
 		}
 		r.mu.Lock()
+		servers := r.servers
+		r.mu.Unlock()
 		last, running := time.Time{}, 0
-		for _, e := range r.executions {
-			if e.at.After(last) {
-				last = e.at
+		for _, s := range servers {
+			n, ended := s.load()
+			running += n
+			if ended.After(last) {
+				last = ended
 			}
 		}
-		for _, s := range r.servers {
-			running += s.load()
-		}
-		r.mu.Unlock()
-		r.logf("%s lists %d of %d items; the servers run %d, and began the last one %.1f s ago", job, len(p.Results), p.Total, running,
+		r.logf("%s lists %d of %d items; the servers run %d, and the last run ended %.1f s ago", job, len(p.Results), p.Total, running,
 			time.Since(last).Seconds())
 		switch {
 		case len(p.Results) == p.Total:
--- a/review/_standin2/owners.go
+++ b/review/_standin2/owners.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -81,8 +80,10 @@
 	var all sync.WaitGroup
 	begin := time.Now()
 	for n := 0; time.Since(begin) < d; n++ {
-		r.sent++
-		id := fmt.Sprintf("q%d", r.sent)
+		id := fmt.Sprintf("q%d", len(r.sentAt))
+		r.mu.Lock()
+		r.sentAt[id] = time.Now()
+		r.mu.Unlock()
 		all.Go(func() {
 			status, _ := r.call(vms[n%len(vms)], "GET", "/status/"+id, 1500*time.Millisecond, map[string]string{"X-Request-Id": id}, nil)
 			r.logf("request %s at %s: status %d", id, vms[n%len(vms)].name, status)
@@ -92,27 +93,29 @@
 	all.Wait()
 }
 
-// judgeQuota reports whether in some window more requests were run than the limit allows. Requests are answered within milliseconds
-// of being sent, so the time at which a server runs one stands for both.
+// judgeQuota reports whether in some window more requests were both sent and run than the limit allows.
 func (r *rig) judgeQuota() int {
+	type sentRun struct{ sent, run time.Time }
 	r.mu.Lock()
-	times := make([]time.Time, 0, len(r.executions))
+	var list []sentRun
 	for _, e := range r.executions {
-		times = append(times, e.at)
+		list = append(list, sentRun{sent: r.sentAt[e.id], run: e.at})
 	}
 	r.mu.Unlock()
-	slices.SortFunc(times, time.Time.Compare)
-	most, first, at := 0, 0, time.Time{}
-	for n, t := range times {
-		for t.Sub(times[first]) > quotaWindow {
-			first++
+	most, at := 0, time.Time{}
+	for _, first := range list {
+		n := 0
+		for _, x := range list {
+			if !x.sent.Before(first.sent) && !x.run.After(first.sent.Add(quotaWindow)) {
+				n++
+			}
 		}
-		if n-first+1 > most {
-			most, at = n-first+1, times[first]
+		if n > most {
+			most, at = n, first.sent
 		}
 	}
 	allowed := (tenantRate*quotaWindow.Seconds()+tenantBurst)*(1+quotaOverage) + quotaSlack
-	r.logf("%d requests of the tenant have run in %v from %.1f s on, %.0f are allowed", most, quotaWindow, at.Sub(r.begin).Seconds(), allowed)
+	r.logf("%d requests of the tenant were sent and have run in %v from %.1f s on, %.0f are allowed", most, quotaWindow, at.Sub(r.begin).Seconds(), allowed)
 	if float64(most) > allowed {
 		r.logf("broken")
 		return exitBroken
--- a/review/_standin2/rig.go
+++ b/review/_standin2/rig.go
@@ -41,8 +41,8 @@
 
 	mu         sync.Mutex
 	record     *os.File
-	tenant     string // members of the tenant in the configuration, beside its name and keys
-	sent       int    // requests of the tenant
+	tenant     string               // members of the tenant in the configuration, beside its name and keys
+	sentAt     map[string]time.Time // when requests of the tenant were sent, by ID
 	executions []execution
 	servers    []*server
 }
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{dir: dir, program: program, memory: memory, store: newStore(), begin: time.Now(), record: record}
+	r := &rig{dir: dir, program: program, memory: memory, store: newStore(), begin: time.Now(), record: record, sentAt: map[string]time.Time{}}
 	r.address, err = r.listen(r.store)
 	return r, err
 }
@@ -92,16 +92,20 @@
 	return ln.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address with a port that is free now. VMs have addresses of their own, which no other process uses
-// for its outgoing connections.
-func (r *rig) freeAddress(vm int) (string, error) {
+// chooseAddresses gives a VM loopback addresses with ports that are free now, each another one. VMs have addresses of their own, which
+// no other process uses for its outgoing connections.
+func (r *rig) chooseAddresses(v *vm) error {
 	pid := os.Getpid()
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>8%250, pid%256, 1+vm))
-	if err != nil {
-		return "", err
+	host := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>8%250, pid%256, 1+len(r.vms))
+	for _, a := range [...]*string{&v.front, &v.ready, &v.peer} {
+		ln, err := net.Listen("tcp", host)
+		if err != nil {
+			return err
+		}
+		defer ln.Close() // until all are chosen
+		*a = ln.Addr().String()
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return nil
 }
 
 // vmMemory is the memory of a VM of the deployment Giz Lusitano, in MB.
@@ -175,12 +179,8 @@
 // addVM writes the settings of a VM as deploy/settings.json.tmpl does.
 func (r *rig) addVM(name, zone string) (*vm, error) {
 	v := &vm{name: name, settings: filepath.Join(r.dir, name+".json")}
-	for _, a := range [...]*string{&v.front, &v.ready, &v.peer} {
-		address, err := r.freeAddress(len(r.vms))
-		if err != nil {
-			return nil, err
-		}
-		*a = address
+	if err := r.chooseAddresses(v); err != nil {
+		return nil, err
 	}
 	data, err := json.Marshal(map[string]any{
 		"name": name, "domain": zone, "region": "r", "front": v.front, "ready": v.ready, "peer": v.peer, "store": r.address,
--- a/review/_standin2/server.go
+++ b/review/_standin2/server.go
@@ -31,6 +31,7 @@
 
 	mu      sync.Mutex
 	running int
+	ended   time.Time // when the last run ended, by the server or by its caller
 }
 
 func newServer(id string, slots, events int, interval time.Duration, log func(execution)) *server {
@@ -77,6 +78,7 @@
 	defer func() {
 		s.mu.Lock()
 		s.running--
+		s.ended = time.Now()
 		s.mu.Unlock()
 	}()
 	flush := http.NewResponseController(w)
@@ -95,9 +97,9 @@
 	}
 }
 
-// load returns the number of requests that the server is working on.
-func (s *server) load() int {
+// load returns the number of requests that the server is working on, and when the last run ended.
+func (s *server) load() (running int, ended time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.running
+	return s.running, s.ended
 }
