--- a/review/_standin3/cases.go
+++ b/review/_standin3/cases.go
@@ -13,7 +13,7 @@
 
 // plays are the scripts of the review by name. With trouble they bring about the disruption, else they do the same without it.
 var plays = map[string]func(folder string, trouble bool){
-	"tenant": playTenant, "memory": playMemory, "route": playRoute, "drain": playDrain,
+	"tenant": playTenant, "memory": playMemory, "route": playRoute, "drain": playDrain, "full": playFull,
 }
 
 // playTenant sends requests with the key of one tenant that name another one in X-Tenant, twice with trouble.
@@ -57,12 +57,14 @@
 	exit(0, "all requests ran for the tenant that holds their key")
 }
 
-// playMemory submits batch jobs of one client, each within the limits of the configuration. The platform ends processes that exceed
-// the memory of their machine, and starts them again. Without trouble, the jobs have 10 items each.
+// playMemory submits batch jobs, each within the limits of the configuration, as many as all machines together carry. Then one machine
+// is removed for good. The platform ends processes that exceed the memory of their machine, and starts them again.
 func playMemory(folder string, trouble bool) {
 	const (
-		jobs      = 120
+		jobs      = 32 // at each machine
+		items     = 200
 		bodyBytes = 1500
+		settle    = 8 * time.Second // between the last submission and the loss
 		watch     = 60 * time.Second
 		maxEnds   = 3 // of the processes of a machine in a day
 	)
@@ -77,29 +79,29 @@
 	}
 	s.awaitReady()
 	stop := s.enforceMemory()
-	items := 10
-	if trouble {
-		items = 200
-	}
 	var sent sync.WaitGroup
 	var accepted atomic.Int64
-	for n := range jobs {
+	for n := range jobs * len(s.vms) {
+		v := s.vms[n%len(s.vms)]
 		sent.Go(func() {
 			id := fmt.Sprintf("%012x", 0xa00000+n)
-			for try := range s.vms { // a client repeats a batch job at other machines until it is accepted
-				v := s.vms[try]
-				a := send(v.front, batch(id, keyRed, items, 167, bodyBytes, 4*time.Second), 6*time.Second)
-				s.note("job %s of %d items at %s: status %d %v", id, items, v.name, a.status, a.err)
-				if a.status == http.StatusAccepted {
-					accepted.Add(1)
-					return
-				}
+			a := send(v.front, batch(id, keyRed, items, 167, bodyBytes, 4*time.Second), 6*time.Second)
+			s.note("job %s of %d items at %s: status %d %v", id, items, v.name, a.status, a.err)
+			if a.status == http.StatusAccepted {
+				accepted.Add(1)
 			}
 		})
 		time.Sleep(100 * time.Millisecond)
 	}
 	sent.Wait()
-	s.note("%d of %d jobs accepted", accepted.Load(), jobs)
+	s.note("%d of %d jobs accepted", accepted.Load(), jobs*len(s.vms))
+	time.Sleep(settle)
+	if trouble {
+		lost := s.vms[0]
+		s.note("%s is lost for good", lost.name)
+		lost.removed.Store(true)
+		lost.end()
+	}
 	time.Sleep(watch)
 	ends := stop()
 	often := 0
@@ -141,6 +143,7 @@
 			}
 			for n, v := range s.vms {
 				switch used := v.memory(); {
+				case v.removed.Load():
 				case !startAt[n].IsZero():
 					if time.Now().After(startAt[n]) {
 						startAt[n] = time.Time{}
@@ -340,3 +343,90 @@
 	}
 	exit(0, verdict)
 }
+
+// playFull fills the table of objects with batch jobs that their clients end at once, while the items of another batch job run, whose
+// texts are too long for a row. Without trouble, nothing fills it.
+func playFull(folder string, trouble bool) {
+	const (
+		finish  = 18 * time.Second
+		items   = 8
+		events  = 200
+		padding = 400 // bytes of each event
+		slots   = 8
+		// Large jobs fill the table, usual ones take what is left.
+		largeItems, largeBytes = 8, 340_000
+		usualItems, usualBytes = 10, 15_000
+	)
+	s := newSystem(folder, config(1, nil))
+	for n := range 3 {
+		b := newServer(s.store, fmt.Sprintf("i-%d", n), "narrador", string(rune('a'+n%3)), slots)
+		b.interval = 50 * time.Millisecond
+		b.padding = strings.Repeat("y", padding)
+		s.servers = append(s.servers, b)
+	}
+	for _, zone := range []string{"a", "b", "c"} {
+		s.addVM(zone)
+	}
+	s.awaitReady()
+	n := 0
+	fill := func(items, bytes int) bool {
+		n++
+		id, v := fmt.Sprintf("%012x", 0xf00000+n), s.vms[n%len(s.vms)]
+		a := send(v.front, batch(id, keyBlue, items, 5, bytes, 4*time.Second), 6*time.Second)
+		if a.status != http.StatusAccepted {
+			s.note("job %s at %s: status %d %v", id, v.name, a.status, a.err)
+			return false
+		}
+		e := send(v.front, request("DELETE", "/guavaridge/lots/"+id, "", keyBlue, 3*time.Second, ""), 5*time.Second)
+		if total, _ := s.store.objects(); n%20 == 0 || e.status != http.StatusOK {
+			s.note("job %s is accepted and ended by its client: status %d; %d MB are stored", id, e.status, total/1_000_000)
+		}
+		return true
+	}
+	if trouble {
+		for total := 0; total < maxTotalBytes*95/100; total, _ = s.store.objects() {
+			if !fill(largeItems, largeBytes) {
+				exit(2, "the objects could not be stored")
+			}
+		}
+	}
+	id := "e00000000001"
+	a := send(s.vms[0].front, batch(id, keyRed, items, events, 600, 4*time.Second), 6*time.Second)
+	s.note("job %s of %d items with long texts: status %d %v", id, items, a.status, a.err)
+	if a.status != http.StatusAccepted {
+		exit(2, "the job was not accepted")
+	}
+	if trouble {
+		for fill(largeItems, largeBytes) {
+		}
+		for fill(usualItems, usualBytes) {
+		}
+	}
+	total, refused := s.store.objects()
+	s.note("%d MB are stored, %d objects were refused", total/1_000_000, refused)
+	time.Sleep(events*50*time.Millisecond + finish)
+	listed := 0
+	for _, v := range s.vms {
+		p, a := results(v, id, keyRed, 0)
+		s.note("job %s at %s: status %d, %d of %d results", id, v.name, a.status, len(p.Results), p.Total)
+		listed = max(listed, len(p.Results))
+	}
+	done := map[string]bool{}
+	last := time.Time{}
+	for _, b := range s.servers {
+		for _, x := range b.list() {
+			if x.Complete && strings.HasPrefix(x.ID, id) {
+				done[x.ID] = true
+				last = x.Start
+			}
+		}
+		s.note("%s has %s running, waiting, slots", b.id, b.load())
+	}
+	total, refused = s.store.objects()
+	s.note("%d MB are stored, %d objects were refused; servers completed %d items, the last began %v ago", total/1_000_000, refused, len(done), time.Since(last).Round(time.Second))
+	verdict := fmt.Sprintf("%d of %d items are listed %v after the last run", listed, items, finish)
+	if listed < items {
+		exit(1, verdict)
+	}
+	exit(0, verdict)
+}
--- a/review/_standin3/store.go
+++ b/review/_standin3/store.go
@@ -29,11 +29,13 @@
 const (
 	maxRowBytes  = 65536
 	maxBlobBytes = 8 << 20
-	maxCallBytes = 1 << 20
-	maxEntries   = 100
-	maxRows      = 500
-	callTime     = 4 * time.Millisecond
-	blobTime     = 25 * time.Millisecond
+	// maxTotalBytes is the size of all objects beyond which none is stored.
+	maxTotalBytes = 400_000_000
+	maxCallBytes  = 1 << 20
+	maxEntries    = 100
+	maxRows       = 500
+	callTime      = 4 * time.Millisecond
+	blobTime      = 25 * time.Millisecond
 )
 
 // store stands in for the platform's metadata store.
@@ -42,6 +44,8 @@
 	rows    map[string]row
 	history []row
 	blobs   map[string][]byte
+	total   int // bytes of all objects
+	full    int // number of objects that were refused
 	version uint64
 	changed chan struct{}
 	start   time.Time
@@ -108,6 +112,13 @@
 	})
 }
 
+// objects returns the number of bytes of all objects, and how many objects were refused since there was no room.
+func (s *store) objects() (total, refused int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total, s.full
+}
+
 // count returns the number of rows of a table.
 func (s *store) count(table string) (n int) {
 	s.mu.Lock()
@@ -293,10 +304,15 @@
 		w.WriteHeader(http.StatusPreconditionFailed)
 	case call == "blob-put" && len(body) > maxBlobBytes:
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	case call == "blob-put" && s.total+len(body)-len(data) > maxTotalBytes:
+		s.full++
+		w.WriteHeader(http.StatusInsufficientStorage)
 	case call == "blob-put":
 		s.blobs[id] = body
+		s.total += len(body) - len(data)
 	case call == "blob-drop":
 		delete(s.blobs, id)
+		s.total -= len(data)
 	case !ok:
 		w.WriteHeader(http.StatusNotFound)
 	default:
--- a/review/_standin3/system.go
+++ b/review/_standin3/system.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,6 +36,7 @@
 // vm is a machine of the system with its process.
 type vm struct {
 	name, zone, front, ready, settings string
+	removed                            atomic.Bool // for good
 
 	mu      sync.Mutex
 	command *exec.Cmd
