--- a/review/_standin3/server.go
+++ b/review/_standin3/server.go
@@ -16,7 +16,9 @@
 	ID, Method, Target, Server, Body string
 	Header                           http.Header
 	LastEventID                      int
-	Start                            time.Time
+	Arrival                          time.Time // of the head
+	Start                            time.Time // when a slot was free
+	End                              time.Time // zero while it runs
 	Complete                         bool
 }
 
@@ -107,6 +109,7 @@
 
 // ServeHTTP implements http.Handler.
 func (b *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrival := time.Now()
 	h := w.Header()
 	id := r.Header.Get("X-Request-Id")
 	h.Set("X-Request-Id", id)
@@ -153,8 +156,9 @@
 	}
 	x := &run{
 		ID: id, Method: r.Method, Target: r.RequestURI, Server: b.id, Body: string(body), Header: r.Header.Clone(), LastEventID: -1,
-		Start: time.Now(),
+		Arrival: arrival, Start: time.Now(),
 	}
+	defer b.end(x)
 	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		x.LastEventID = n
 	}
@@ -195,6 +199,12 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+func (b *server) end(x *run) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x.End = time.Now()
+}
+
 func (b *server) done(x *run) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
