Reject answers in chunks of versions without them

What callers saw: an HTTP/1.0 answer with "Transfer-Encoding: chunked" arrived sealed with the sizes of its chunks in the body, on all kinds of routes where its server closes the connection, and at once where it has a length too.

Cause: the HTTP library ignores the field before HTTP/1.1, and takes the length or the end of the connection as the end of the body. The server that sends it has framed its body in chunks.

Change: such an answer is malformed, as RFC 9112 (6.1) has it. Only heads of other versions than HTTP/1.1 are searched for the field.

--- a/io/guavatransport/fields.go
+++ b/io/guavatransport/fields.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"errors"
 	"fmt"
+
+	"github.com/valyala/fasthttp"
 )
 
-// ErrInvalidField means that a line of a head or of a trailer section is no field: its name is not a token, or the line continues the
-// field before it.
+// ErrInvalidField means that a line of a head or of a trailer section is no field, since its name is not a token or it continues the
+// field before it, or that it is a field that the response cannot have.
 var ErrInvalidField = errors.New("invalid field")
 
 // tokenBytes holds the bytes of tokens, of which names of fields consist (RFC 9110, 5.6.2).
@@ -74,3 +76,22 @@
 		}
 	}
 }
+
+// checkNoCoding checks that no field of a head names a transfer coding. The fields begin behind the given number of bytes that a reader
+// has buffered. Versions before HTTP/1.1 have no codings (RFC 9112, 6.1): the library ignores the field, but its server may not.
+func checkNoCoding(from *bufio.Reader, start int) error {
+	b, err := from.Peek(from.Buffered())
+	if err != nil {
+		return err //nolint:wrapcheck // callers inspect it, and say what they read
+	}
+	for line := range bytes.Lines(b[start:]) {
+		name, _, isField := bytes.Cut(line, []byte{':'})
+		if !isField {
+			break // the empty line behind the fields
+		}
+		if bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+			return fmt.Errorf("%w: %.40q in a version without it", ErrInvalidField, line)
+		}
+	}
+	return nil
+}
--- a/io/guavatransport/fuzz_test.go
+++ b/io/guavatransport/fuzz_test.go
@@ -33,6 +33,8 @@
 		"HTTP/1.1 103 Early\r\nX : 1\r\n\r\n" + status + "\r\n",
 		"HTTP/1.1 204 None\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.0 200 OK\r\n\r\nok",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/0.0 200 0\nTrAnsfer-EnCoding:00000000000\r\n\r\n000000000000000000000000",
 		"HTTP/1.1 200 OK\nContent-Length: 2\n\r\nok\r\n\r\n",
 		"\r\n\nHTTP/1.1 200 OK\r\n\r\n",
 		"HTTP/1.1 000 OK\r\n\r\n",
--- a/io/guavatransport/response.go
+++ b/io/guavatransport/response.go
@@ -59,36 +59,37 @@
 		if buffered, err = peekMore(from, len(buffered)); err != nil {
 			return 0, err
 		}
-		status, size, err := scanStatusLine(buffered)
-		if err != nil {
-			return 0, err
+		line, size := cutStatusLine(buffered)
+		if size == 0 {
+			continue
 		}
-		if size > 0 {
-			return status, peekFields(from, buffered, size)
+		status, ok := parseStatus(line)
+		if !ok {
+			return 0, fmt.Errorf("%w: %.40q", ErrInvalidStatus, line)
 		}
+		hasCodings := bytes.HasPrefix(line, []byte("HTTP/1.1 "))
+		if err := peekFields(from, buffered, size); err != nil || hasCodings {
+			return status, err
+		}
+		return status, checkNoCoding(from, size)
 	}
 }
 
-// scanStatusLine returns the status in the status line at the start of b, and the size of the line with its line break, 0 if b has no
-// whole line. Like the library, it ignores empty lines before the status line. The library checks the version.
-func scanStatusLine(b []byte) (status, size int, err error) {
+// cutStatusLine returns the status line at the start of b without its line break, and the size up to the next line, 0 if b has no whole
+// line. Like the library, it ignores empty lines before the status line.
+func cutStatusLine(b []byte) (line []byte, size int) {
 	start := 0
 	for start < len(b) && (b[start] == '\r' || b[start] == '\n') {
 		start++
 	}
 	end := bytes.IndexByte(b[start:], '\n')
 	if end < 0 {
-		return 0, 0, nil
-	}
-	line := bytes.TrimSuffix(b[start:start+end], []byte{'\r'})
-	status, ok := parseStatus(line)
-	if !ok {
-		return 0, 0, fmt.Errorf("%w: %.40q", ErrInvalidStatus, line)
+		return nil, 0
 	}
-	return status, start + end + 1, nil
+	return bytes.TrimSuffix(b[start:start+end], []byte{'\r'}), start + end + 1
 }
 
-// parseStatus returns the status in a status line, and whether a response can have it.
+// parseStatus returns the status in a status line, and whether a response can have it. The library checks the version.
 func parseStatus(line []byte) (status int, ok bool) {
 	_, rest, _ := bytes.Cut(line, []byte{' '})
 	rest = bytes.TrimLeft(rest, " ")
--- a/io/guavatransport/response_test.go
+++ b/io/guavatransport/response_test.go
@@ -55,6 +55,9 @@
 		{name: "blank after an interim response", raw: "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nX Trouble: 1\r\n" + rest, want: guavatransport.ErrInvalidField},
 		{name: "blank in a trailer", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum : 1\r\n\r\n", want: guavatransport.ErrInvalidField},
 		{name: "blank in a HEAD response", raw: "HTTP/1.1 200 OK\r\nX Trouble: 1\r\nContent-Length: 9\r\n\r\n", head: true, want: guavatransport.ErrInvalidField},
+		{name: "HTTP/1.0", raw: "HTTP/1.0 200 OK\r\n" + rest, status: 200, body: "ok"},
+		{name: "chunks in HTTP/1.0", raw: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", want: guavatransport.ErrInvalidField},
+		{name: "chunks and a length in HTTP/1.0", raw: "HTTP/1.0 200 OK\r\ntransfer-encoding:chunked\r\n" + rest, want: guavatransport.ErrInvalidField},
 		{name: "nothing", raw: "", want: io.EOF},
 		{name: "part of a line", raw: "HTTP/1.1 20", want: io.EOF},
 	}
