Reject requests with a field whose name is no token

What servers saw: a request whose head had a blank inside the name of a field ("X Trouble: 1"), or a line that begins with a blank, was run, with that field forwarded as it came or joined to the one before it. Where the field before was the key, its caller got 401. The users' trial got 400: the library rejects a blank before the colon, a tab and control bytes, not these.

Cause: the reader of requests accepts the same names as that of answers, but for a blank before the colon.

Change: both interfaces for callers check the lines of a head before they look at anything in it, answer 400 and close the connection. Continuation lines are rejected too, as RFC 9112 (5.2) allows.

Not changed: malformed names in the trailer section of a request. The library reads it without a way to check it; no trailer is forwarded to servers, and the body is whole.

--- a/io/guavafront/handle.go
+++ b/io/guavafront/handle.go
@@ -98,6 +98,10 @@
 			ctx.SetConnectionClose()
 		}
 	}()
+	if err := guavatransport.CheckFields(ctx.Request.Header.RawHeaders()); err != nil {
+		f.handleError(ctx, err)
+		return
+	}
 	c := &call{front: f, ctx: ctx, snapshot: f.Snapshot(), path: string(ctx.Path())}
 	if e := c.serve(); e != nil {
 		f.counters.Refused.Add(1)
--- a/io/guavafront/refuse_test.go
+++ b/io/guavafront/refuse_test.go
@@ -160,8 +160,8 @@
 	})
 }
 
-// TestRawRequests guards against requests that violate HTTP: duplicate or oversized headers, truncated requests, and
-// contradictory lengths. The front sends one error response and closes the connection.
+// TestRawRequests guards against requests that violate HTTP: duplicate, malformed or oversized headers, truncated requests,
+// and contradictory lengths. The front sends one error response and closes the connection.
 func TestRawRequests(t *testing.T) {
 	const line = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
 	for _, c := range []struct{ name, send, want string }{
@@ -170,6 +170,10 @@
 		{"duplicate identifier", line + "X-Request-Id: a\r\nX-Request-Id: b\r\nContent-Length: 0\r\n\r\n", "400 duplicate_header"},
 		{"two lengths", line + "Authorization: Bearer KEY\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n{}", "400 malformed_request"},
 		{"length and chunks", line + "Authorization: Bearer KEY\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + line + "\r\n", "400 invalid_body"},
+		{"blank in a name", line + "Authorization: Bearer KEY\r\nX Trouble: 1\r\nContent-Length: 0\r\n\r\n", "400 malformed_request"},
+		{"blank before the colon", line + "Authorization: Bearer KEY\r\nContent-Length : 0\r\n\r\n", "400 malformed_request"},
+		{"blank before a name", line + "Authorization: Bearer KEY\r\n Content-Length: 0\r\n\r\n", "400 malformed_request"},
+		{"folded field", line + "X-Trouble: 1\r\n 2\r\nAuthorization: Bearer KEY\r\nContent-Length: 0\r\n\r\n", "400 malformed_request"},
 		{"no HTTP", "hello\r\n\r\n", "400 malformed_request"},
 		{"bad chunk", line + "Authorization: Bearer KEY\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400 malformed_request"},
 		{"slow header", "POST /v1", "408 request_timeout"},
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -13,6 +13,7 @@
 	"guavaridge/core/guavatraffic"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavalisten"
+	"guavaridge/io/guavatransport"
 )
 
 const (
@@ -60,7 +61,7 @@
 
 // serve responds to the request. A streamed response is completed later, when the HTTP server reads its body.
 func (c *call) serve() {
-	if !c.resolve() || !c.readBody() {
+	if !c.checkFields() || !c.resolve() || !c.readBody() {
 		return
 	}
 	if c.conn != nil {
@@ -91,6 +92,17 @@
 	}
 }
 
+// checkFields checks the names of the request's header fields, of which the HTTP server accepts some that servers may read differently.
+// If there is a malformed one, it rejects the request and returns false.
+func (c *call) checkFields() bool {
+	if err := guavatransport.CheckFields(c.ctx.Request.Header.RawHeaders()); err != nil {
+		c.closeAfterResponse()
+		c.reject(fasthttp.StatusBadRequest, causeBroken)
+		return false
+	}
+	return true
+}
+
 // submit submits a job. While the store is unavailable, a first attempt leaves its caller time to retry on another VM,
 // which may reach the store. A retry waits longer for the store to recover.
 func (c *call) submit() {
--- a/io/guavatransport/fields.go
+++ b/io/guavatransport/fields.go
@@ -47,6 +47,12 @@
 	}
 }
 
+// CheckFields returns ErrInvalidField if the lines of a head are not all fields. The head is given as it arrived, without its first line.
+func CheckFields(raw []byte) error {
+	_, _, err := scanFields(raw)
+	return err
+}
+
 // errTooLong means that a head or a trailer section does not fit into the buffer of its reader.
 var errTooLong = errors.New("head or trailer section too long")
 
