Reject jobs with an item whose header has a name that is no token

What could be seen: an item with the header "X-Tenant " reached servers with that field beside the X-Tenant of its client account, one with "Content-Length " or "Transfer-Encoding " beside the length of its body. A server that ignores the blank runs it for another account, or takes the rest of the body for a request. Servers that reject the field did so at each attempt, and the item was not finished.

Cause: names of an item's headers come from JSON, so that no reader of heads has checked them, and the HTTP library writes any name.

Change: a job is accepted only if all these names are tokens; otherwise it gets 400, like a request with such a head.

--- a/io/guavajobs/submit.go
+++ b/io/guavajobs/submit.go
@@ -15,6 +15,7 @@
 	"guavaridge/core/guavatraffic"
 	"guavaridge/io/guavagate"
 	"guavaridge/io/guavaplatform"
+	"guavaridge/io/guavatransport"
 )
 
 // maxItems is the maximum number of items in a job.
@@ -33,6 +34,9 @@
 		return
 	}
 	items, err := l.Codec.Submission(w.PostBody())
+	if err == nil {
+		err = checkHeaders(items)
+	}
 	if err != nil || len(items) == 0 || len(items) > maxItems {
 		l.Logger.Info("job rejected", "job", r.ID, "items", len(items), "error", err)
 		w.SetStatusCode(fasthttp.StatusBadRequest)
@@ -93,6 +97,19 @@
 	}
 }
 
+// checkHeaders checks the names of the headers of items. Servers may read a name with white space as that of another header, such as one
+// that says where the body ends.
+func checkHeaders(items []guavaprogress.Item) error {
+	for _, i := range items {
+		for name := range i.Headers {
+			if !guavatransport.IsToken(name) {
+				return fmt.Errorf("header %.40q of item %s: %w", name, i.ID, guavatransport.ErrInvalidField)
+			}
+		}
+	}
+	return nil
+}
+
 func (l *Jobs) acknowledge(w *fasthttp.RequestCtx, j guavaprogress.Job, account string) {
 	if j.Account != account {
 		w.SetStatusCode(fasthttp.StatusConflict)
--- a/io/guavatransport/fields.go
+++ b/io/guavatransport/fields.go
@@ -21,6 +21,16 @@
 	return table
 }()
 
+// IsToken reports whether a text can be the name of a field.
+func IsToken(name string) bool {
+	for i := range len(name) {
+		if !tokenBytes[name[i]] {
+			return false
+		}
+	}
+	return name != ""
+}
+
 // scanFields checks that the whole lines in b are fields, up to the empty line that ends a head or a trailer section. It returns the
 // size of these fields in bytes, and whether there is an empty line behind them. Like the library, it takes LF and CRLF as line breaks.
 //
