Reject malformed fields in the answers to job commands

What operators could see: a job command printed the body of an answer whose head or trailer had a blank in the name of a field, with other bytes than the VM's where the field was the length. VMs send no such head; something between them and the operator may.

Cause: net/http accepts such names. It keeps the blank, so that it does not take the field for the one that says where the body ends.

Change: the transport of the commands fails such answers and closes the connection. Commands read bodies to their end, behind which the trailer stands. net/http joins a continuation line to the field before it, as RFC 9112 (5.2) has it for a user agent: not changed.

A control byte, an empty name and status 000 were rejected already.

--- a/io/guavabatch/client.go
+++ b/io/guavabatch/client.go
@@ -29,7 +29,8 @@
 	if !strings.Contains(address, "://") {
 		address = "http://" + address
 	}
-	return &apiClient{address: strings.TrimSuffix(address, "/"), key: key, http: &http.Client{}}
+	transport := checkedTransport{http.DefaultTransport.(*http.Transport).Clone()}
+	return &apiClient{address: strings.TrimSuffix(address, "/"), key: key, http: &http.Client{Transport: transport}}
 }
 
 // send returns the response body. A status other than 200 is returned as an error with the message of the body.
@@ -74,6 +75,9 @@
 	if err := json.NewDecoder(r).Decode(&v); err != nil {
 		return v, errors.Newf("decode response of %s: %w", path, err)
 	}
+	if _, err := io.Copy(io.Discard, r); err != nil { // the end of the body shows that it is whole
+		return v, errors.Newf("read response of %s: %w", path, err)
+	}
 	return v, nil
 }
 
