--- a/io/guavatransport/fuzz_test.go
+++ b/io/guavatransport/fuzz_test.go
@@ -9,14 +9,15 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"unicode"
 
 	"github.com/valyala/fasthttp"
 
 	"guavaridge/io/guavatransport"
 )
 
-// FuzzReadResponse guards against bytes that are read as a response although the name of a field is no token, and against a body other
-// than the one that the head says. Bytes behind the response have to stay unread, since the next response begins with them.
+// FuzzReadResponse guards against bytes that are read as a response although the name of a field is no token or its value has a control
+// byte, and against a body other than the one that the head says. Bytes behind the response have to stay unread, since the next response begins with them.
 func FuzzReadResponse(f *testing.F) {
 	const status = "HTTP/1.1 200 OK\r\n"
 	for _, raw := range []string{
@@ -25,6 +26,8 @@
 		status + "X Trouble: 1\r\n\r\nok",
 		status + "X: 1\r\n Content-Length: 2\r\n\r\nok",
 		status + "X\x01: 1\r\n\r\n",
+		status + "X: \x01\r\n\r\n",
+		status + "X: 1\r2\r\n\r\n",
 		status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\nmore",
 		status + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n2;a=b\r\nok\r\n0\r\nX-Sum: 1\r\n\r\nmore",
 		status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Sum: 1\r\n\r\n",
@@ -72,10 +75,13 @@
 		if got.StatusCode() != want.status || string(body) != want.body || string(rest) != want.rest {
 			t.Errorf("%q: got status %d, body %q and rest %q, want %+v", raw, got.StatusCode(), body, rest, want)
 		}
-		for name := range got.Header.All() {
+		for name, value := range got.Header.All() {
 			if !isToken(string(name)) {
 				t.Errorf("%q: got a field with the name %q", raw, name)
 			}
+			if bytes.ContainsFunc(value, func(c rune) bool { return c != '\t' && unicode.IsControl(c) && c <= unicode.MaxASCII }) {
+				t.Errorf("%q: got the value %q", raw, value)
+			}
 		}
 		for _, name := range got.Header.PeekTrailerKeys() {
 			if !isToken(string(name)) {
