Reword the reader of responses and close the client of a test

Review of the change: the bounds of chunks say what they are for, the transport of the store says when it needs a reader of bodies, and the benchmark names its headers by none of the platform's. No change of behaviour.

--- a/bench/response/response_test.go
+++ b/bench/response/response_test.go
@@ -16,9 +16,9 @@
 const head = "HTTP/1.1 200 OK\r\n" +
 	"Content-Type: text/event-stream\r\n" +
 	"X-Request-Id: 9c41d07be2a35f68\r\n" +
-	"X-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n" +
-	"X-Weight-Versions: 1\r\n" +
-	"X-Server-Load: 3,0,8\r\n" +
+	"X-Content-Proof: 3e1b.07.5a2.600.0.c9f2a4d1\r\n" +
+	"X-Model-Versions: 1\r\n" +
+	"X-Answer-Load: 3,0,8\r\n" +
 	"Keep-Alive: timeout=30\r\n"
 
 // readBufferSize is that of connections to backend servers.
--- a/io/guavaremote/malformed_field_test.go
+++ b/io/guavaremote/malformed_field_test.go
@@ -119,7 +119,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer client.Close()
+			defer func() {
+				if err := client.Close(); err != nil {
+					t.Error(err)
+				}
+			}()
 			ctx, stop := context.WithTimeout(t.Context(), 30*time.Second)
 			defer stop()
 			_, err = client.Read(ctx, "t/p/k")
--- a/io/guavatransport/body.go
+++ b/io/guavatransport/body.go
@@ -49,11 +49,11 @@
 var errInvalidChunk = errors.New("invalid chunk")
 
 const (
-	// freeOverhead is the overhead of a chunk in bytes that counts as data, beside twice its size.
-	freeOverhead = 16
 	// maxChunkSize bounds the size of a chunk in bytes, so that a further digit does not overflow.
 	maxChunkSize = math.MaxInt >> 4
-	// maxOverhead bounds the overhead of a body beyond that, in bytes.
+	// freeOverhead is the size in bytes that the line before a chunk may have in addition to twice the size of the chunk.
+	freeOverhead = 16
+	// maxOverhead bounds the bytes of all lines of a body beyond that, so that a server cannot send extensions without end.
 	maxOverhead = 16 << 10
 )
 
@@ -63,7 +63,7 @@
 	header   *fasthttp.ResponseHeader
 	begun    bool  // a chunk has begun
 	left     int   // bytes of the chunk
-	overhead int   // bytes
+	overhead int   // bytes of lines, see maxOverhead
 	err      error // why the body has ended, io.EOF behind the trailer section
 }
 
--- a/io/guavatransport/fields.go
+++ b/io/guavatransport/fields.go
@@ -9,8 +9,8 @@
 	"github.com/valyala/fasthttp"
 )
 
-// ErrInvalidField means that a line of a head or of a trailer section is no field, since its name is not a token or it continues the
-// field before it, or that it is a field that the response cannot have.
+// ErrInvalidField means that a head or a trailer section has a line that is not a field with a token as its name, or a field that
+// messages of its version cannot have.
 var ErrInvalidField = errors.New("invalid field")
 
 // tokenBytes holds the bytes of tokens, of which names of fields consist (RFC 9110, 5.6.2).
--- a/io/guavatransport/round_tripper.go
+++ b/io/guavatransport/round_tripper.go
@@ -8,9 +8,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// NewRoundTripper returns the transport of a client of the library that reads responses with ReadResponse. The client never repeats a
-// request, and needs StreamResponseBody. readBody returns the rest of a streamed body, which becomes the body of the response; if it
-// fails, the connection is closed.
+// NewRoundTripper returns a transport for a client of the library that reads responses with ReadResponse and repeats no request. If the
+// client has StreamResponseBody set, readBody reads the stream of the body, before the connection is released; if it fails, the
+// connection is closed.
 func NewRoundTripper(readBody func(r *fasthttp.Response) ([]byte, error)) fasthttp.RoundTripper {
 	return &roundTripper{readBody: readBody}
 }
