--- a/io/guavatransport/fields.go
+++ b/io/guavatransport/fields.go
@@ -68,14 +68,14 @@
 
 // peekMore waits until a reader has buffered more than the given number of bytes, and returns all that it has buffered.
 func peekMore(from *bufio.Reader, size int) ([]byte, error) {
-	_, err := from.Peek(size + 1)
-	if errors.Is(err, bufio.ErrBufferFull) {
+	switch _, err := from.Peek(size + 1); {
+	case err == nil:
+		return from.Peek(from.Buffered()) //nolint:wrapcheck // all of that is there
+	case errors.Is(err, bufio.ErrBufferFull):
 		return nil, fmt.Errorf("%w: more than %d bytes", errTooLong, size)
-	}
-	if err != nil {
+	default:
 		return nil, err //nolint:wrapcheck // callers inspect it, and say what they read
 	}
-	return from.Peek(from.Buffered()) //nolint:wrapcheck // as above
 }
 
 // peekFields waits until a reader has buffered a head or a trailer section to its end, and checks the fields in it. They begin at start
--- a/io/guavatransport/response.go
+++ b/io/guavatransport/response.go
@@ -91,12 +91,15 @@
 
 // parseStatus returns the status in a status line, and whether a response can have it. The library checks the version.
 func parseStatus(line []byte) (status int, ok bool) {
-	_, rest, _ := bytes.Cut(line, []byte{' '})
-	rest = bytes.TrimLeft(rest, " ")
-	if len(rest) < 3 || len(rest) > 3 && rest[3] != ' ' {
+	start := len("HTTP/1.1")
+	for start < len(line) && line[start] == ' ' {
+		start++
+	}
+	end := start + len("200")
+	if start == len("HTTP/1.1") || end > len(line) || end < len(line) && line[end] != ' ' {
 		return 0, false
 	}
-	for _, c := range rest[:3] {
+	for _, c := range line[start:end] {
 		if c < '0' || c > '9' {
 			return 0, false
 		}
