Check where streamed bodies break off

TestReadResponse accepted any error for streamed bodies, since the library's stream hid the one that it held. It now wants the same error as for buffered ones. TestStreamCutOff cuts a body in chunks after each byte: the error says that it was broken off, which servers that crash do, and not that it was malformed. Both pass without a change of the reader.

--- a/io/guavatransport/response_test.go
+++ b/io/guavatransport/response_test.go
@@ -74,7 +74,7 @@
 					}
 				}
 				if c.want != nil {
-					if err == nil || !stream && !errors.Is(err, c.want) {
+					if !errors.Is(err, c.want) {
 						t.Errorf("stream %t: got error %v, want %v", stream, err, c.want)
 					}
 					continue
@@ -86,3 +86,26 @@
 		})
 	}
 }
+
+// TestStreamCutOff guards against a body in chunks that counts as complete, or as malformed instead of broken off, wherever its
+// connection ends: a server that crashes breaks off, one that sends something else does not.
+func TestStreamCutOff(t *testing.T) {
+	const (
+		head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		body = "2;name=value\r\nok\r\n10\r\nsixteen bytes...\r\n0\r\nX-Sum: 1\r\nX-More: 2\r\n\r\n"
+	)
+	for n := range len(body) + 1 {
+		var r fasthttp.Response
+		r.StreamBody = true
+		if err := guavatransport.ReadResponse(&r, bufio.NewReader(strings.NewReader(head+body[:n])), 0); err != nil {
+			t.Fatalf("cut after %q: got error %v for the head", body[:n], err)
+		}
+		got, err := io.ReadAll(r.BodyStream())
+		switch {
+		case n == len(body) && (err != nil || string(got) != "oksixteen bytes..."):
+			t.Errorf("got body %q and error %v, want all of it", got, err)
+		case n < len(body) && !errors.Is(err, io.ErrUnexpectedEOF):
+			t.Errorf("cut after %q: got body %q and error %v, want %v", body[:n], got, err, io.ErrUnexpectedEOF)
+		}
+	}
+}
