Send one value of each header that the system sets or reads

What callers saw: a caller that sent X-Tenant twice had its requests run as those of the account that it named. A deadline sent twice reached the server as written, and a target sent twice took servers out of use for other callers as well, since a 421 counts against a server.

Cause: after Prepare had set the headers for the server, KeepOrder replaced each header that the caller had sent more than once by the caller's values, also those that Prepare had set or removed. Related paths: names in Connection and Trailer removed headers that the system relies on, such as the identifier; headers that the system reads reached servers with further values; items of jobs could replace Host and Last-Event-Id, and names that differ in case only were merged at random, differently here and at the server.

Prepare removes all of them, restores the order of the others, and sets each once: to the system's value, or to the caller's first one, which is the one that was decoded. The header is copied before the body is read, whose trailer section would be added to it. Items are prepared by the same function.

Failing before, passing now: 72 of 72 cases of TestSingleHeaders (9 headers on 8 kinds of paths), 7 of 16 of TestSingleHeadersOfItems, 2 of 4 of TestLastEventIDOfCallers, TestForgedTargets. TestRepeatedFraming held before.

--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -61,7 +61,16 @@
 
 // serve responds to the request. A streamed response is completed later, when the HTTP server reads its body.
 func (c *call) serve() {
-	if !c.checkFields() || !c.resolve() || !c.readBody() {
+	if !c.checkFields() || !c.resolve() {
+		return
+	}
+	if c.request.Operation == Forward && c.route.Kind != guavatraffic.Batch {
+		// Before the body is read, which adds its trailer section to the header. The HTTP server may reuse the header while a stream
+		// is still being relayed. Request.CopyTo would also copy the parsed URI, whose path is normalized, and Request.Write would
+		// send that instead of the one received.
+		c.ctx.Request.Header.CopyTo(&c.message.Header)
+	}
+	if !c.readBody() {
 		return
 	}
 	if c.conn != nil {
--- a/io/guavagate/dispatch.go
+++ b/io/guavagate/dispatch.go
@@ -15,7 +15,6 @@
 	"guavaridge/core/guavasilence"
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavasend"
-	"guavaridge/io/guavatransport"
 )
 
 const (
@@ -49,9 +48,6 @@
 		c.token = token
 	}
 	c.service = c.route.Service(c.request.ID)
-	// The HTTP server may reuse the header while a stream is still being relayed. Request.CopyTo would also copy the parsed
-	// URI, whose path is normalized, and Request.Write would send that instead of the one received.
-	c.ctx.Request.Header.CopyTo(&c.message.Header)
 	c.message.SetBodyRaw(c.body)
 	c.fingerprintSum = c.fingerprint().Sum()
 	for {
@@ -198,13 +194,11 @@
 	c.outgoingMu.Lock()
 	defer c.outgoingMu.Unlock()
 	q := &fasthttp.Request{}
-	c.message.Header.CopyTo(&q.Header)
 	q.SetBodyRaw(c.message.Body())
-	guavatransport.StripHop(&q.Header) // before Prepare: Connection may name headers that it sets
-	c.gate.Protocol.Prepare(&q.Header, ForwardInfo{
+	c.gate.Protocol.Prepare(&q.Header, &c.message.Header, ForwardInfo{
 		Server: reservation.Server, Account: c.account, Timeout: time.Until(c.deadline), LastEventID: lastEventID,
+		Fields: c.request.Fields,
 	})
-	guavatransport.KeepOrder(&q.Header, &c.message.Header)
 	r := guavasend.Request{
 		Address: reservation.Address, ID: c.request.ID, IDHeader: c.gate.Protocol.IDHeader(), Message: q,
 		MaxIdle: nonRepeatableMaxIdle, Repeatable: c.route.Repeatable(),
--- a/io/guavagate/gateway.go
+++ b/io/guavagate/gateway.go
@@ -20,6 +20,7 @@
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavalisten"
 	"guavaridge/io/guavasend"
+	"guavaridge/io/guavatransport"
 )
 
 // Admission grants reservations on servers and rate limit tokens.
@@ -244,6 +245,7 @@
 	c := &call{gate: g, ctx: ctx, arrived: time.Now()}
 	c.conn, _ = ctx.Conn().(*guavalisten.Connection)
 	defer c.recoverPanic()
+	guavatransport.IgnoreTrailers(&ctx.Request.Header)
 	c.request = g.Protocol.DecodeRequest(&ctx.Request.Header)
 	g.Counters.Requests.Add(1)
 	if g.draining.Load() {
--- a/io/guavagate/protocol.go
+++ b/io/guavagate/protocol.go
@@ -47,6 +47,8 @@
 	Parts []string
 	// LastEventID is the ID of the last event of the stream that the caller has received, -1 for none.
 	LastEventID int
+	// Fields are the headers that the caller decides and that a server gets exactly as they were decoded. See Protocol.Prepare.
+	Fields []Field
 	// Job, Item and After belong to operations on jobs. Wait bounds the wait for results.
 	Job   string
 	Item  string
@@ -54,12 +56,16 @@
 	Wait  time.Duration
 }
 
+// Field is a header of a request.
+type Field struct{ Name, Value string }
+
 // ForwardInfo is added to the headers of a request that is forwarded to a server.
 type ForwardInfo struct {
 	Server      string
 	Account     string
 	Timeout     time.Duration
-	LastEventID int // see Request.LastEventID
+	LastEventID int     // see Request.LastEventID
+	Fields      []Field // see Request.Fields
 }
 
 // ResponseInfo is what the headers of a server's response state about it and the server.
@@ -77,8 +83,9 @@
 type Protocol interface {
 	// DecodeRequest decodes a caller's request.
 	DecodeRequest(h *fasthttp.RequestHeader) Request
-	// Prepare replaces the headers from a caller by those for a server.
-	Prepare(h *fasthttp.RequestHeader, o ForwardInfo)
+	// Prepare sets h to the header of a request for a server, given the original one of a caller. Each header that the protocol
+	// defines has one value at most in h, the one that o holds, whatever the caller has sent. Hop-by-hop headers are removed.
+	Prepare(h, original *fasthttp.RequestHeader, o ForwardInfo)
 	// DecodeResponse decodes the headers of a server's response.
 	DecodeResponse(h *fasthttp.ResponseHeader) ResponseInfo
 	// IDHeader returns the name of the header that carries the request's ID.
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -19,7 +19,6 @@
 	"guavaridge/io/guavacoord"
 	"guavaridge/io/guavagate"
 	"guavaridge/io/guavasend"
-	"guavaridge/io/guavatransport"
 )
 
 const (
@@ -352,11 +351,12 @@
 	ctx context.Context, reservation *guavacoord.Reservation, j guavaprogress.Job, expiry time.Time,
 ) (*guavasend.Exchange, error) {
 	l := r.runner.jobs
+	message := &fasthttp.Request{}
+	fields := l.Codec.ItemRequest(message, j.Host, r.item)
 	q := &fasthttp.Request{}
-	l.Codec.ItemRequest(q, j.Host, r.item)
-	guavatransport.StripHop(&q.Header)
-	l.Protocol.Prepare(&q.Header, guavagate.ForwardInfo{
-		Server: reservation.Server, Account: j.Account, Timeout: time.Until(expiry), LastEventID: r.progress.LastEvent(),
+	q.SetBodyRaw(message.Body())
+	l.Protocol.Prepare(&q.Header, &message.Header, guavagate.ForwardInfo{
+		Server: reservation.Server, Account: j.Account, Timeout: time.Until(expiry), LastEventID: r.progress.LastEvent(), Fields: fields,
 	})
 	return l.Sender.Send(ctx, guavasend.Request{ //nolint:wrapcheck // handleFailure inspects it
 		Address: reservation.Address, ID: r.item.ID, IDHeader: l.Protocol.IDHeader(), Message: q, MaxIdle: maxIdle,
--- a/io/guavajobs/jobs.go
+++ b/io/guavajobs/jobs.go
@@ -33,8 +33,9 @@
 	Submission(body []byte) ([]guavaprogress.Item, error)
 	// Page encodes a page of results. Total is the number of items of the job, next the position of the next page.
 	Page(total int, results []guavaprogress.Result, next int) ([]byte, error)
-	// ItemRequest fills q with the request that a server gets for an item.
-	ItemRequest(q *fasthttp.Request, host string, i guavaprogress.Item)
+	// ItemRequest fills q with the request that a server gets for an item. It returns the headers that the item decides; see
+	// guavagate.Protocol.
+	ItemRequest(q *fasthttp.Request, host string, i guavaprogress.Item) []guavagate.Field
 }
 
 // Admission reserves the right to run a request on a server.
--- a/io/guavatransport/hop.go
+++ b/io/guavatransport/hop.go
@@ -12,31 +12,42 @@
 	return []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Upgrade", "Expect"}
 }
 
-// KeepOrder restores the order of repeated headers in a copy of a header. fasthttp changes it when it deletes a header.
-func KeepOrder(h, original *fasthttp.RequestHeader) {
-	var done []string
+// KeepOrder restores the order of repeated headers in a copy of a header, from which names may have been removed. fasthttp changes the
+// order when it deletes a header. The headers named in except stay as they are.
+func KeepOrder(h, original *fasthttp.RequestHeader, except []string) {
+	var names []string // of repeated headers
 	for name := range original.All() {
-		values := original.PeekAll(string(name))
-		if len(values) < 2 || len(h.PeekBytes(name)) == 0 || slices.Contains(done, string(name)) {
+		s := string(name)
+		if slices.Contains(names, s) || slices.Contains(except, s) {
 			continue
 		}
-		done = append(done, string(name))
-		h.DelBytes(name)
-		for _, v := range values {
-			h.AddBytesKV(name, v)
+		if len(original.PeekAll(s)) > 1 && len(h.PeekAll(s)) > 0 {
+			names = append(names, s)
+		}
+	}
+	for _, name := range names {
+		h.Del(name)
+	}
+	for _, name := range names { // after all deletions
+		for _, v := range original.PeekAll(name) {
+			h.AddBytesV(name, v)
 		}
 	}
 }
 
-// StripHop removes the hop-by-hop headers of a request: the HopHeaders, those that its Connection header names, and trailers, which
-// belong to the coding of its body.
+// IgnoreTrailers makes h treat the headers that its Trailer header names like all others. Without that, fasthttp looks for them in the
+// trailer section of the body, which is not forwarded.
+func IgnoreTrailers(h *fasthttp.RequestHeader) { h.Del(fasthttp.HeaderTrailer) }
+
+// StripHop removes the hop-by-hop headers of a request: the HopHeaders, and those that its Connection header names.
 func StripHop(h *fasthttp.RequestHeader) {
-	for _, name := range h.PeekTrailerKeys() {
-		h.DelBytes(name)
-	}
-	for name := range strings.SplitSeq(string(h.Peek(fasthttp.HeaderConnection)), ",") {
-		if name = strings.TrimSpace(name); name != "" {
-			h.Del(name)
+	IgnoreTrailers(h)
+	for _, options := range h.PeekAll(fasthttp.HeaderConnection) {
+		for name := range strings.SplitSeq(string(options), ",") {
+			// Host is no connection option, and a request without it is malformed.
+			if name = strings.TrimSpace(name); name != "" && !strings.EqualFold(name, fasthttp.HeaderHost) {
+				h.Del(name)
+			}
 		}
 	}
 	for _, name := range HopHeaders() {
