Forward the idempotency key that counts

What callers saw: on the own interface, an Idempotency-Key that the caller also named as a connection option counted in the system and did not reach the server; one in the trailer section counted as well. Names in a second Connection line were not removed from the request.

Cause: the front read the key after the body, when the trailer section had been added to the header, and removed the names of the first Connection line only, after that.

Change: the front decodes the header before it reads the body, and sets the key that counts. It looks at all Connection lines. Repeated headers on which it acts are rejected with 400, as before.

Measured: TestSingleHeaders of io/guavafront, 256 cases: 4 failed before, none now.

--- a/io/guavafront/dispatch.go
+++ b/io/guavafront/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"guavaridge/core/guavakey"
 	"guavaridge/core/guavaretry"
 	"guavaridge/io/guavaback"
 	"guavaridge/io/guavadispatch"
@@ -20,17 +21,18 @@
 			c.finish()
 		}
 	}()
-	body, e := c.readBody()
+	r, e := c.dispatchRequest() // before the body is read, which adds its trailer section to the header
 	if e != nil {
 		return e
 	}
-	if e := c.checkEnded(); e != nil {
+	body, e := c.readBody()
+	if e != nil {
 		return e
 	}
-	r, e := c.dispatchRequest(body)
-	if e != nil {
+	if e := c.checkEnded(); e != nil {
 		return e
 	}
+	r.Body = guavakey.ScrubBody(body)
 	if c.route.Service == "" {
 		if e := c.parseCompletion(&r); e != nil {
 			return e
--- a/io/guavafront/handle.go
+++ b/io/guavafront/handle.go
@@ -102,6 +102,7 @@
 		f.handleError(ctx, err)
 		return
 	}
+	guavatransport.IgnoreTrailers(&ctx.Request.Header)
 	c := &call{front: f, ctx: ctx, snapshot: f.Snapshot(), path: string(ctx.Path())}
 	if e := c.serve(); e != nil {
 		f.counters.Refused.Add(1)
@@ -389,8 +390,8 @@
 	return refuse(fasthttp.StatusMethodNotAllowed, "method_not_allowed", "", "the method is not allowed for "+c.path)
 }
 
-// dispatchRequest builds the request for the dispatcher, with API keys removed from path, headers and body.
-func (c *call) dispatchRequest(body []byte) (guavadispatch.Request, *failure) {
+// dispatchRequest builds the request for the dispatcher, without its body, with API keys removed from path and headers.
+func (c *call) dispatchRequest() (guavadispatch.Request, *failure) {
 	idempotencyKey, e := c.singleHeader(headerIdempotency)
 	if e == nil && idempotencyKey != "" && !validID(idempotencyKey) {
 		e = refuse(fasthttp.StatusBadRequest, "invalid_header", headerIdempotency,
@@ -399,10 +400,14 @@
 	if e != nil {
 		return guavadispatch.Request{}, e
 	}
+	header := c.forwardedHeader()
+	if idempotencyKey != "" {
+		header[headerIdempotency] = idempotencyKey // the one that counts here, even if the caller names it as a connection option
+	}
 	return guavadispatch.Request{
 		ID: c.id, Account: c.key.Account, Route: c.route, Method: string(c.ctx.Method()),
-		Path: guavakey.ScrubPath(string(c.ctx.URI().RequestURI())), Header: c.forwardedHeader(),
-		Body: guavakey.ScrubBody(body), IdempotencyKey: idempotencyKey, Deadline: c.deadline,
+		Path: guavakey.ScrubPath(string(c.ctx.URI().RequestURI())), Header: header,
+		IdempotencyKey: idempotencyKey, Deadline: c.deadline,
 	}, nil
 }
 
@@ -436,8 +441,8 @@
 		}
 		m[name] = value
 	}
-	if connection := h.Peek("Connection"); len(connection) > 0 {
-		for name := range strings.SplitSeq(string(connection), ",") {
+	for _, options := range h.PeekAll(fasthttp.HeaderConnection) {
+		for name := range strings.SplitSeq(string(options), ",") {
 			for k := range m {
 				if strings.EqualFold(k, strings.TrimSpace(name)) {
 					delete(m, k)
