Give items up only on a configuration as new as their job

Items of moved and split routes ran at the service of the older configuration.

Cause: the tables of jobs and of the configuration are followed on different connections. A route that the VM's configuration lacked counted as removed unless a call had failed 1.5 s ago; a silent connection fails after 1.9 s. Nothing said how old the configuration was against the job.

Change: the row of a job holds the version of the configuration that accepted it. A VM with an older version runs the items at the service in the row, and gives an item up only from that version on. Items of jobs without a version, which older builds wrote, wait until the copy of the configuration is complete up to the job's revision. A VM that sees a job of a newer version counts its configuration as out of date, so that it answers 503 instead of 401 or 404.

Why it works: the version orders the two tables, which the arrival of their changes does not.

--- a/core/guavaprogress/job.go
+++ b/core/guavaprogress/job.go
@@ -9,9 +9,11 @@
 	ID      string `json:"id"`
 	Account string `json:"account"`
 	Route   string `json:"route"`
-	// Service is the service that executes the items.
+	// Service is the service to which the route led when the job was accepted.
 	Service string `json:"service"`
 	Host    string `json:"host"`
+	// Version is the version of the configuration under which the job was accepted; 0 in jobs of builds that did not store it.
+	Version uint64 `json:"version,omitempty"`
 	Total   int    `json:"total"`
 	// ResultCount is the number of results; they have the positions 0 to ResultCount-1.
 	ResultCount int `json:"listed"`
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -172,6 +172,10 @@
 	e.batch = guavajobs.New(guavajobs.Dependencies{
 		Self: self.Identity, Table: store, Objects: store, Admission: localAdmission{e.client, s.Domain}, Sender: sender,
 		Protocol: p.Wire, Codec: p.Codec, Config: config, Stale: e.isStale, Status: e.registry.status,
+		ConfigPosition: func() uint64 {
+			position, _ := e.config.Position()
+			return position
+		},
 		Linked: func(vm string) uint64 {
 			if l := e.client.Mesh().Link(vm); l != nil {
 				return l.Peer.Incarnation
@@ -184,7 +188,7 @@
 	e.gate = guavagate.New(guavagate.Dependencies{
 		Protocol: p.Wire, Admission: localAdmission{e.client, s.Domain}, Jobs: e.batch, Sender: sender,
 		Bodies: guavabudget.NewShares[string](budget, int(accountShare*float64(buffers))),
-		Config: config, Stale: e.isStale, Status: e.registry.status, Hedge: s.Hedge.policy, Metrics: requests, Logger: logger,
+		Config: config, Stale: func() bool { return e.isStale() || e.batch.IsConfigBehind() }, Status: e.registry.status, Hedge: s.Hedge.policy, Metrics: requests, Logger: logger,
 	}, s.connections())
 	e.config = guavaview.New(p.Store, p.ConfigTable, []string{""}, guavaview.DefaultWait, e.registry.applyConfig, logger)
 	e.servers = guavaview.New(p.Store, p.ServerTable, []string{""}, guavaview.DefaultWait, e.registry.applyServers, logger)
--- a/io/guavagate/call.go
+++ b/io/guavagate/call.go
@@ -123,7 +123,7 @@
 	ctx, stop := context.WithTimeoutCause(c.runCtx, limit, errDeadline)
 	defer stop()
 	c.ctx.Request.SetBodyRaw(c.body)
-	c.gate.Jobs.Submit(ctx, c.ctx, c.request, c.route, c.account)
+	c.gate.Jobs.Submit(ctx, c.ctx, Submission{Request: c.request, Config: c.config, Route: c.route, Account: c.account})
 }
 
 // resolve finds the route and the client account. If there is none, it responds with the reason and returns false.
--- a/io/guavagate/gateway.go
+++ b/io/guavagate/gateway.go
@@ -31,10 +31,18 @@
 	Return(t guavacoord.Token)
 }
 
+// Submission is a request to run a job, and what the configuration by which it is accepted says of it.
+type Submission struct {
+	Request Request
+	Config  *guavatraffic.Config
+	Route   guavatraffic.Route
+	Account string
+}
+
 // Jobs serves the operations on batch jobs.
 type Jobs interface {
 	// Submit submits a job.
-	Submit(ctx context.Context, w *fasthttp.RequestCtx, r Request, route guavatraffic.Route, account string)
+	Submit(ctx context.Context, w *fasthttp.RequestCtx, s Submission)
 	// Serve handles the other operations.
 	Serve(ctx context.Context, w *fasthttp.RequestCtx, r Request, account string)
 }
@@ -49,7 +57,7 @@
 	Bodies *guavabudget.Shares[string]
 	// Config returns the configuration in force, nil while there is none.
 	Config func() *guavatraffic.Config
-	// Stale reports whether the configuration may be out of date because the store is unavailable.
+	// Stale reports whether the configuration may be out of date: the store is unavailable, or something refers to a newer one.
 	Stale func() bool
 	// Status returns whether a server accepts requests for the service, by this VM's own server list.
 	Status func(service string, server guavatraffic.Incarnation) guavaroster.Status
--- a/io/guavagate/gateway_test.go
+++ b/io/guavagate/gateway_test.go
@@ -39,8 +39,8 @@
 type jobs struct{ guavagate.Jobs }
 
 // Submit implements guavagate.Jobs.
-func (jobs) Submit(ctx context.Context, w *fasthttp.RequestCtx, r guavagate.Request, _ guavatraffic.Route, _ string) {
-	if r.ID == "submit" {
+func (jobs) Submit(ctx context.Context, w *fasthttp.RequestCtx, s guavagate.Submission) {
+	if s.Request.ID == "submit" {
 		panic("fault of the submission")
 	}
 	select {
--- a/io/guavajobs/index.go
+++ b/io/guavajobs/index.go
@@ -88,6 +88,7 @@
 	mu      sync.Mutex
 	jobs    map[string]entry
 	changed chan struct{} // closed and replaced at each change
+	version uint64        // the newest under which a job was accepted
 }
 
 func newJobIndex(l hclog.Logger) *jobIndex {
@@ -145,9 +146,17 @@
 func (b *jobIndex) set(e entry) {
 	if old, ok := b.jobs[e.job.ID]; !ok || old.revision < e.revision {
 		b.jobs[e.job.ID] = e
+		b.version = max(b.version, e.job.Version)
 	}
 }
 
+// newestVersion returns the newest version of the configuration under which a job was accepted, 0 if none is known.
+func (b *jobIndex) newestVersion() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.version
+}
+
 func (b *jobIndex) notify() {
 	close(b.changed)
 	b.changed = make(chan struct{})
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -170,9 +170,14 @@
 		if time.Now().After(expiry) {
 			return r.giveUp("retention over"), true
 		}
-		service, ok := r.service(job)
-		if !ok {
+		service, state := r.service(job)
+		switch state {
+		case routeRemoved:
 			return r.giveUp("route removed"), true
+		case routeUnknown:
+			r.wait(ctx, retryDelay)
+			continue
+		case routeKnown:
 		}
 		reservation, err := r.acquire(ctx, service, job, expiry)
 		if errors.Is(err, errRouteChanged) {
@@ -208,14 +213,38 @@
 	return r.finish(guavaprogress.Dead, reason)
 }
 
-// service returns the service to which the current configuration routes the item. It is false if the route was removed.
-func (r *itemRun) service(j guavaprogress.Job) (string, bool) {
+// routeState is what this VM knows of the route of an item.
+type routeState int
+
+const (
+	routeKnown routeState = iota
+	// routeUnknown means that the route is not in a configuration that may be older than the job.
+	routeUnknown
+	// routeRemoved means that the route is not in a configuration that is at least as new as the job.
+	routeRemoved
+)
+
+// service returns the service to which the item's route leads. This VM's configuration may be older than the one under which the job
+// was accepted: changes of the jobs table may arrive before those of the configuration. Until it has that version, the service at the
+// acceptance counts, which is newer. Jobs of builds that stored no version wait for a copy of the configuration that is complete
+// up to the moment at which this VM began to run them.
+func (r *itemRun) service(j guavaprogress.Job) (string, routeState) {
 	l := r.runner.jobs
-	route, ok := l.Config().Route(j.Host, r.item.Path)
-	if !ok {
-		return j.Service, l.Stale() // a stale configuration is no reason to give the item up
+	complete := j.Version > 0 || l.ConfigPosition() >= r.runner.begun // before the configuration is read
+	config := l.Config()
+	if config.Version < j.Version {
+		return j.Service, routeKnown
+	}
+	route, ok := config.Route(j.Host, r.item.Path)
+	switch {
+	case ok:
+		return route.Service(j.ID), routeKnown
+	case l.Stale():
+		return j.Service, routeKnown // the route may have been added again
+	case !complete:
+		return "", routeUnknown
 	}
-	return route.Service(j.ID), true
+	return "", routeRemoved
 }
 
 // serviceWait is an item's wait for a reservation on a server of a service.
@@ -237,7 +266,7 @@
 	if r.serviceWait == nil {
 		return
 	}
-	if service, ok := r.service(r.runner.job); !ok || service != r.serviceWait.service {
+	if service, state := r.service(r.runner.job); state != routeKnown || service != r.serviceWait.service {
 		r.serviceWait.leave(errRouteChanged)
 	}
 }
--- a/io/guavajobs/jobs.go
+++ b/io/guavajobs/jobs.go
@@ -53,7 +53,9 @@
 	Protocol  guavagate.Protocol
 	Codec     Codec
 	Config    func() *guavatraffic.Config
-	// Stale reports whether this VM's copy of the configuration may be out of date.
+	// ConfigPosition returns the position in the store's history up to which this VM knows all configurations.
+	ConfigPosition func() uint64
+	// Stale reports whether this VM's copy of the configuration may be out of date because the store is unavailable.
 	Stale func() bool
 	// Confirmed returns when the store last confirmed that this VM's copy of the jobs table is current.
 	Confirmed func() time.Time
@@ -156,6 +158,12 @@
 	}
 }
 
+// IsConfigBehind reports whether a job was accepted under a newer configuration than the one in force on this VM.
+func (l *Jobs) IsConfigBehind() bool {
+	c := l.Config()
+	return c == nil || c.Version < l.index.newestVersion()
+}
+
 // Running returns the number of jobs that this VM runs.
 func (l *Jobs) Running() int {
 	l.mu.Lock()
--- a/io/guavajobs/runner.go
+++ b/io/guavajobs/runner.go
@@ -29,6 +29,7 @@
 type runner struct {
 	jobs  *Jobs
 	job   guavaprogress.Job // as of the start of the runner; entry has the current state
+	begun uint64            // the revision of the job's row then
 	items []guavaprogress.Item
 
 	ctx     context.Context
@@ -48,7 +49,7 @@
 	e entry, items []guavaprogress.Item, completed map[string]bool, saved map[int]guavaprogress.SavedProgress,
 ) {
 	r := &runner{
-		jobs: l, job: e.job, items: items, entry: e,
+		jobs: l, job: e.job, begun: e.revision, items: items, entry: e,
 		results: make(chan guavaprogress.Result, len(items)), stopped: make(chan struct{}),
 		active: map[string]*itemRun{}, savedItems: map[string]int{},
 	}
--- a/io/guavajobs/submit.go
+++ b/io/guavajobs/submit.go
@@ -12,7 +12,6 @@
 
 	"guavaridge/core/guavabacklog"
 	"guavaridge/core/guavaprogress"
-	"guavaridge/core/guavatraffic"
 	"guavaridge/io/guavagate"
 	"guavaridge/io/guavaplatform"
 	"guavaridge/io/guavatransport"
@@ -22,9 +21,8 @@
 const maxItems = 200
 
 // Submit implements guavagate.Jobs.
-func (l *Jobs) Submit(
-	ctx context.Context, w *fasthttp.RequestCtx, r guavagate.Request, route guavatraffic.Route, account string,
-) {
+func (l *Jobs) Submit(ctx context.Context, w *fasthttp.RequestCtx, s guavagate.Submission) {
+	r, route, account := s.Request, s.Route, s.Account
 	if !w.IsPost() || !validID.MatchString(r.ID) {
 		w.SetStatusCode(fasthttp.StatusBadRequest)
 		return
@@ -55,10 +53,10 @@
 	}
 	now := time.Now()
 	j := guavaprogress.Job{
-		ID: r.ID, Account: account, Route: route.Name, Service: route.Service(r.ID), Host: r.Host, Total: len(items),
-		WaitingTokens: tokens, Accepted: now.UnixMilli(), Deadline: now.Add(route.CompletionTarget).UnixMilli(),
+		ID: r.ID, Account: account, Route: route.Name, Service: route.Service(r.ID), Host: r.Host, Version: s.Config.Version,
+		Total: len(items), WaitingTokens: tokens, Accepted: now.UnixMilli(), Deadline: now.Add(route.CompletionTarget).UnixMilli(),
 		RetainedUntil: now.Add(route.Retention).UnixMilli(), MaxAttempts: route.Attempts,
-		Priority: l.Config().Priority(route, account),
+		Priority: s.Config.Priority(route, account),
 	}.WithOwner(l.Self.Name, l.Self.Incarnation)
 	// The job exists only once its row does. Until then, a refusal correctly states that nothing runs.
 	var reserved time.Time
