Treat removals as final when servers have had time to renew

What callers saw: VMs sent requests to servers for up to 2.1 s after their entries had been removed, when the removal came some seconds after an outage of the store; 2 s are allowed.

Cause: a removal learned within 1.5 s of a failed call was held back for 2 s from then on. The 2 s were all of the time that is allowed, and the last failed call came up to 3.5 s after the return of the store: 1.9 s for a call without a response, and up to 1.6 s of backoff.

Change: removals are held back until 2.3 s after the return of the store, in which running servers renew their entries, and take effect at once after that. The return is noticed within 0.3 s, since the follower of the servers probes the store while it gives no response, on other connections and without a wait for earlier calls. The store counts as away only if there was no response for 2 s, so that a silent connection holds nothing back. Further outages before the renewal extend it.

Why it works: the end of the hold depends on the return of the store alone, not on the length of the outage or on the moment at which a removal is learned. The worst case is 2.9 s after the return, and 3 s after it is when removals count.

TestRemovals wanted a removal to be final 8 s after the last failure without saying when the store had responded again.

--- a/core/guavaroster/roster.go
+++ b/core/guavaroster/roster.go
@@ -11,11 +11,17 @@
 )
 
 const (
-	// removalDelay is how long a server whose entry was removed just after an outage of the store stays in the list.
-	// Entries expire while servers cannot renew them, and are renewed within two seconds after the outage.
+	// removalDelay is how long a server whose entry was removed during an outage of the store stays in the list, unless the store
+	// returns before. Entries expire while servers cannot renew them.
 	removalDelay = 2 * time.Second
-	// outageWindow is the time after a store failure in which a removal counts as its consequence.
-	outageWindow = 1500 * time.Millisecond
+	// RenewalTime is the time from the return of the store in which running servers renew entries that have expired: two seconds, and
+	// a margin in which their entries reach this VM. A server without an entry after that is gone. Callers may count
+	// on removals that the store acknowledges three seconds after its return or later, so the margin cannot be larger: the store's
+	// return is known only 0.3 s later, and a request takes up to 0.2 s to the server.
+	RenewalTime = 2300 * time.Millisecond
+	// expiryTime is the shortest outage in which entries can expire. They do so after three intervals of 1.2 s without renewal, of
+	// which one may have passed when the outage begins.
+	expiryTime = 2 * time.Second
 	// maxNotices is the number of leaving notices above which those of servers without an entry are dropped, oldest first.
 	// They are kept that long because an entry that expired in an outage may return.
 	maxNotices = 1000
@@ -23,12 +29,13 @@
 
 // Roster is the list of backend servers. It is not safe for concurrent use.
 type Roster struct {
-	servers          map[string]guavatraffic.Server
-	notices          map[guavatraffic.Incarnation]bool // shared with lists, so it is replaced instead of changed
-	noticeOrder      []guavatraffic.Incarnation        // oldest first
-	pendingRemoval   map[string]time.Time              // servers without an entry, with the time of their removal
-	lastStoreFailure time.Time                         // when the store last failed
-	evacuated        map[string]bool                   // failure domains whose servers get no requests
+	servers        map[string]guavatraffic.Server
+	notices        map[guavatraffic.Incarnation]bool // shared with lists, so it is replaced instead of changed
+	noticeOrder    []guavatraffic.Incarnation        // oldest first
+	pendingRemoval map[string]time.Time              // servers without an entry, with the time of their removal; zero: after the store's return
+	failingSince   time.Time                         // when the store stopped responding, zero while it responds
+	renewedBy      time.Time                         // when servers have renewed the entries that expired in the last outage
+	evacuated      map[string]bool                   // failure domains whose servers get no requests
 }
 
 // New returns an empty roster.
@@ -39,8 +46,37 @@
 	}
 }
 
-// RecordStoreFailure records that the store does not respond.
-func (r *Roster) RecordStoreFailure(now time.Time) { r.lastStoreFailure = now }
+// RecordStoreFailure records that the store has stopped to respond. Servers that were about to renew their entries cannot.
+func (r *Roster) RecordStoreFailure(now time.Time) {
+	if !r.failingSince.IsZero() {
+		return
+	}
+	r.failingSince = now
+	for id := range r.pendingRemoval {
+		r.pendingRemoval[id] = time.Time{}
+	}
+}
+
+// RecordStoreResponse records that the store has responded at a time, that long after its last response before, and reports whether it
+// was away for so long that entries of running servers may have expired. These servers get the RenewalTime, without interruptions by
+// further failures. After a shorter failure, the servers whose entries were removed meanwhile have left.
+func (r *Roster) RecordStoreResponse(at time.Time, away time.Duration) bool {
+	switch {
+	case away >= expiryTime:
+		r.renewedBy = at.Add(RenewalTime)
+	case r.failingSince.IsZero():
+		return false
+	case !r.failingSince.Before(r.renewedBy):
+		r.renewedBy = at
+	case away > 0:
+		r.renewedBy = r.renewedBy.Add(away)
+	}
+	r.failingSince = time.Time{}
+	for id := range r.pendingRemoval {
+		r.pendingRemoval[id] = r.renewedBy
+	}
+	return away >= expiryTime
+}
 
 // Put adds or updates a server's entry and reports whether the list changed. An entry equal to the stored one, as
 // Replace may pass it, does not change the list.
@@ -55,15 +91,19 @@
 }
 
 // Remove records that a server's entry was removed and reports whether the list changed. A server is removed from the
-// list at once when it is leaving or when the store has not failed recently. Otherwise Expire removes it later.
+// list at once when it is leaving or when its entry cannot have expired in an outage of the store. Otherwise Expire removes it later.
 func (r *Roster) Remove(now time.Time, id string) bool {
 	s, ok := r.servers[id]
 	if !ok {
 		return false
 	}
-	if !r.isLeaving(s) && !r.lastStoreFailure.IsZero() && now.Sub(r.lastStoreFailure) < outageWindow {
+	removeAt := r.renewedBy
+	if !r.failingSince.IsZero() {
+		removeAt = now.Add(removalDelay)
+	}
+	if !r.isLeaving(s) && now.Before(removeAt) {
 		if _, pending := r.pendingRemoval[id]; !pending {
-			r.pendingRemoval[id] = now.Add(removalDelay)
+			r.pendingRemoval[id] = removeAt
 		}
 		return false
 	}
@@ -92,7 +132,7 @@
 func (r *Roster) Expire(now time.Time) bool {
 	removed := false
 	for id, removeAt := range r.pendingRemoval {
-		if !now.Before(removeAt) {
+		if !removeAt.IsZero() && !now.Before(removeAt) {
 			delete(r.servers, id)
 			delete(r.pendingRemoval, id)
 			removed = true
--- a/core/guavaroster/roster_test.go
+++ b/core/guavaroster/roster_test.go
@@ -24,31 +24,61 @@
 }
 
 // TestRemovals guards against servers that stay in the list after their entry was removed while the store was
-// available, and against servers that are removed because they could not renew their entry during an outage of the
-// store.
+// available, or too long after an outage, and against servers that are removed because they could not renew their entry during an
+// outage of the store.
 func TestRemovals(t *testing.T) {
+	type outage struct{ failed, returned, away time.Duration }
+	const s = time.Second
 	cases := []struct {
 		name    string
-		failure time.Duration // when the store last failed, 0 for never
+		outages []outage // failed is 0 if this VM saw no failure, returned if the store has not returned
 		removed time.Duration
 		leaving bool
 		checked time.Duration
 		want    []string
 	}{
-		{"store available", 0, 10 * time.Second, false, 10 * time.Second, []string{"b"}},
-		{"just after an outage", 9 * time.Second, 10 * time.Second, false, 10 * time.Second, []string{"a", "b"}},
-		{"not renewed after an outage", 9 * time.Second, 10 * time.Second, false, 12 * time.Second, []string{"b"}},
-		{"had announced that it is leaving", 9 * time.Second, 10 * time.Second, true, 10 * time.Second, []string{"b"}},
-		{"long after an outage", 2 * time.Second, 10 * time.Second, false, 10 * time.Second, []string{"b"}},
+		{"store available", nil, 10 * s, false, 10 * s, []string{"b"}},
+		{"during an outage", []outage{{failed: 9 * s}}, 10 * s, false, 10 * s, []string{"a", "b"}},
+		{"during an outage, not renewed", []outage{{failed: 9 * s}}, 10 * s, false, 12 * s, []string{"b"}},
+		{"during an outage, had announced that it is leaving", []outage{{failed: 9 * s}}, 10 * s, true, 10 * s, []string{"b"}},
+		{"just after an outage", []outage{{5 * s, 9500 * time.Millisecond, 6 * s}}, 10 * s, false, 10 * s, []string{"a", "b"}},
+		{"just after an outage, in time to renew", []outage{{5 * s, 9500 * time.Millisecond, 6 * s}}, 10 * s, false, 11700 * time.Millisecond, []string{"a", "b"}},
+		{"just after an outage, not renewed", []outage{{5 * s, 9500 * time.Millisecond, 6 * s}}, 10 * s, false, 11800 * time.Millisecond, []string{"b"}},
+		{"just after an outage, had announced that it is leaving", []outage{{5 * s, 9500 * time.Millisecond, 6 * s}}, 10 * s, true, 10 * s, []string{"b"}},
+		{"when servers have renewed", []outage{{5 * s, 9500 * time.Millisecond, 6 * s}}, 11800 * time.Millisecond, false, 11800 * time.Millisecond, []string{"b"}},
+		{"3 s after a long outage", []outage{{5 * s, 100 * s, 96 * s}}, 103 * s, false, 103 * s, []string{"b"}},
+		{"long after an outage", []outage{{2 * s, 3 * s, 5 * s}}, 10 * s, false, 10 * s, []string{"b"}},
+		{"after a silent connection", []outage{{9 * s, 9300 * time.Millisecond, 1700 * time.Millisecond}}, 9400 * time.Millisecond, false, 9400 * time.Millisecond, []string{"b"}},
+		{"between two outages", []outage{{2 * s, 7 * s, 6 * s}, {failed: 8 * s}}, 7500 * time.Millisecond, false, 20 * s, []string{"a", "b"}},
+		{"after two outages", []outage{{2 * s, 7 * s, 6 * s}, {8 * s, 12 * s, 5 * s}}, 12500 * time.Millisecond, false, 14 * s, []string{"a", "b"}},
+		{"after two outages, not renewed", []outage{{2 * s, 7 * s, 6 * s}, {8 * s, 12 * s, 5 * s}}, 12500 * time.Millisecond, false, 14300 * time.Millisecond, []string{"b"}},
+		{"after a response without a failure here", []outage{{returned: 9500 * time.Millisecond, away: 3 * s}}, 9600 * time.Millisecond, false, 11700 * time.Millisecond, []string{"a", "b"}},
+		{"after a usual pause between responses", []outage{{returned: 9500 * time.Millisecond, away: 1800 * time.Millisecond}}, 9600 * time.Millisecond, false, 9600 * time.Millisecond, []string{"b"}},
+		{"interrupted for a second", []outage{{2 * s, 7 * s, 6 * s}, {8 * s, 9 * s, s}}, 9 * s, false, 10 * s, []string{"a", "b"}},
+		{"interrupted for a second, not renewed", []outage{{2 * s, 7 * s, 6 * s}, {8 * s, 9 * s, s}}, 9 * s, false, 10300 * time.Millisecond, []string{"b"}},
 	}
 	for _, c := range cases {
 		r := guavaroster.New()
 		r.Put(guavatraffic.Server{ID: "a", Leaving: c.leaving})
 		r.Put(guavatraffic.Server{ID: "b"})
-		if c.failure > 0 {
-			r.RecordStoreFailure(epoch.Add(c.failure))
+		removed := false
+		remove := func(now time.Duration) {
+			if !removed && c.removed <= now {
+				r.Remove(epoch.Add(c.removed), "a")
+				removed = true
+			}
 		}
-		r.Remove(epoch.Add(c.removed), "a")
+		for _, o := range c.outages {
+			if o.failed > 0 {
+				remove(o.failed - 1)
+				r.RecordStoreFailure(epoch.Add(o.failed))
+			}
+			if o.returned > 0 {
+				remove(o.returned - 1)
+				r.RecordStoreResponse(epoch.Add(o.returned), o.away)
+			}
+		}
+		remove(c.checked)
 		r.Expire(epoch.Add(c.checked))
 		if diff := cmp.Diff(c.want, names(r)); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", c.name, diff)
--- a/io/guavaedge/edge.go
+++ b/io/guavaedge/edge.go
@@ -83,6 +83,9 @@
 	staleAfter = 1500 * time.Millisecond
 	// storeCheckInterval is the time between checks whether the store is available.
 	storeCheckInterval = 100 * time.Millisecond
+	// storeProbeInterval is the time between calls for the list of servers while the store does not respond. Removals in the list mean
+	// different things soon after the return of the store and later, so that it has to be noticed quickly.
+	storeProbeInterval = 300 * time.Millisecond
 	// jobsBatchDelay is the pause between responses with changes of jobs, of which every VM gets all. Results that one VM
 	// has listed have to be listed by all within a second, and clients read about twice a second.
 	jobsBatchDelay = 200 * time.Millisecond
@@ -192,6 +195,9 @@
 	}, s.connections())
 	e.config = guavaview.New(p.Store, p.ConfigTable, []string{""}, guavaview.DefaultWait, e.registry.applyConfig, logger)
 	e.servers = guavaview.New(p.Store, p.ServerTable, []string{""}, guavaview.DefaultWait, e.registry.applyServers, logger)
+	e.servers.SetAvailability(
+		guavaview.Availability{Failed: e.registry.recordStoreFailure, Responded: e.registry.recordStoreResponse}, storeProbeInterval,
+	)
 	e.vms = guavaview.New(p.Store, tableVMs, []string{""}, guavaview.DefaultWait, e.registry.applyVMs, logger)
 	e.jobs = guavaview.New(p.Store, guavajobs.TableJobs, guavajobs.Parts(), guavaview.DefaultWait, e.batch.Apply, logger)
 	e.jobs.SetBatchDelay(jobsBatchDelay)
@@ -383,9 +389,6 @@
 // which depend on the configuration and on whether it may be out of date.
 func (e *Edge) monitorStore(ctx context.Context) {
 	for range every(ctx, storeCheckInterval) {
-		if e.servers.Outage(time.Now()) > 0 {
-			e.registry.recordStoreFailure()
-		}
 		e.registry.expire()
 		_, confirmed := e.vms.Position()
 		e.registry.recordConfirmed(confirmed)
--- a/io/guavaedge/registry.go
+++ b/io/guavaedge/registry.go
@@ -332,13 +332,22 @@
 	return r.servers.Load().Notices(service)
 }
 
-// recordStoreFailure records that the store is unresponsive.
+// recordStoreFailure records that the store does not respond to requests for the list of servers.
 func (r *registry) recordStoreFailure() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.roster.RecordStoreFailure(time.Now())
 }
 
+// recordStoreResponse records that the store has responded at a time, that long after its last response before.
+func (r *registry) recordStoreResponse(at time.Time, away time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.roster.RecordStoreResponse(at, away) {
+		r.logger.Info("servers renew their entries", "away", away.Milliseconds(), "pending", r.roster.PendingRemovals())
+	}
+}
+
 // expire removes servers whose entries were not restored in time after an outage of the store.
 func (r *registry) expire() {
 	r.mu.Lock()
--- a/io/guavaview/follower.go
+++ b/io/guavaview/follower.go
@@ -50,6 +50,10 @@
 	publish func(Delta)
 	// batchDelay is the pause after a response with changes.
 	batchDelay time.Duration
+	// availability gets what the follower learns of the store; its functions may be nil. probeInterval is 0 without probes.
+	availability  Availability
+	probeInterval time.Duration
+	resumed       bool // the next call is the first one after a time without calls; used by Run only
 
 	mu               sync.Mutex
 	rows             map[string]guavaplatform.Row
@@ -124,6 +128,7 @@
 	truncated := 0 // snapshots in a row whose changes were no longer available
 	for ctx.Err() == nil {
 		if f.covered != nil && f.isLoaded() && f.covered() {
+			f.resumed = true
 			sleep(ctx, readerCheckInterval)
 			continue
 		}
@@ -134,11 +139,14 @@
 				truncated = 0
 			}
 			backoff, reload = minBackoff, false
-			f.recordSuccess(time.Now())
 			if changed {
 				sleep(ctx, f.batchDelay)
 			}
 			continue
+		case errors.Is(err, errCovered):
+			continue
+		case ctx.Err() != nil:
+			return
 		case errors.Is(err, guavaplatform.ErrTruncated):
 			reload = true
 			f.logger.Info("change history truncated, reloading table", "table", f.table)
@@ -165,20 +173,25 @@
 // poll reads the complete table or its changes from the store once, and reports whether there were changes.
 func (f *Follower) poll(ctx context.Context, reload bool) (changed bool, err error) {
 	if reload {
+		if err := f.awaitStore(ctx); err != nil {
+			return false, err
+		}
 		ctx, stop := context.WithTimeout(ctx, snapshotTimeout)
 		defer stop()
 		rows, position, err := f.feed.Snapshot(ctx, f.table, f.parts)
 		if err != nil {
 			return false, err
 		}
+		f.recordSuccess(time.Now()) // before the changes are applied, whose meaning may depend on it
 		f.applySnapshot(rows, position)
 		return false, nil
 	}
 	position, from := f.positions()
-	changes, next, err := f.feed.Changes(ctx, f.table, position, f.wait)
+	changes, next, err := f.readChanges(ctx, position)
 	if err != nil {
 		return false, err
 	}
+	f.recordSuccess(time.Now())
 	if f.publish != nil && len(changes) > 0 {
 		// The delta is sent before the next heartbeat can include its changes.
 		f.publish(Delta{Table: f.table, From: from, To: next, Patches: f.newPatches(changes)})
@@ -245,8 +258,8 @@
 	if result != Applied {
 		return result
 	}
-	f.applyChanges(d.From, d.To, changes)
 	f.recordSuccess(time.Now().Add(-d.Age))
+	f.applyChanges(d.From, d.To, changes)
 	return Applied
 }
 
@@ -339,18 +352,27 @@
 		f.logger.Info("store regained", "table", f.table, "outage", time.Since(f.failingSince).Milliseconds())
 		f.failingSince = time.Time{}
 	}
+	if f.availability.Responded != nil {
+		f.availability.Responded(at, at.Sub(f.lastContact))
+	}
 	if at.After(f.lastContact) {
 		f.lastContact = at
 	}
 }
 
-func (f *Follower) recordFailure(err error) {
+// recordFailure records that a call has failed, and reports whether it is the first one since the store's last response.
+func (f *Follower) recordFailure(err error) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.failingSince.IsZero() {
-		f.failingSince = time.Now()
-		f.logger.Warn("store lost", "table", f.table, "position", f.position, "error", err)
+	if !f.failingSince.IsZero() {
+		return false
 	}
+	f.failingSince = time.Now()
+	f.logger.Warn("store lost", "table", f.table, "position", f.position, "error", err)
+	if f.availability.Failed != nil {
+		f.availability.Failed()
+	}
+	return true
 }
 
 // Snapshot is a complete table as of a position. VMs exchange snapshots during an outage of the store.
