Pause before a refused item with a condition is sent again

Cause: since a 421 to an item with X-Expected-Version no longer closes a server to the VM, nothing slowed the next attempt of such an item: it was sent again at once, as often as the servers could refuse it.

Change: such an item waits for retryDelay, like after other failures. The time for renewals of the list of servers is renamed and explained.

Measured: TestForgedTargetsOfItems, in virtual time, did not end before: it was stopped by hand after ten minutes at 20 GB. Now it takes 0.3 s.

--- a/core/guavaroster/roster.go
+++ b/core/guavaroster/roster.go
@@ -14,11 +14,11 @@
 	// removalDelay is how long a server whose entry was removed during an outage of the store stays in the list, unless the store
 	// returns before. Entries expire while servers cannot renew them.
 	removalDelay = 2 * time.Second
-	// RenewalTime is the time from the return of the store in which running servers renew entries that have expired: two seconds, and
-	// a margin in which their entries reach this VM. A server without an entry after that is gone. Callers may count
-	// on removals that the store acknowledges three seconds after its return or later, so the margin cannot be larger: the store's
-	// return is known only 0.3 s later, and a request takes up to 0.2 s to the server.
-	RenewalTime = 2300 * time.Millisecond
+	// renewalTime is the time from the return of the store after which a server without an entry has left. Running servers renew
+	// entries that have expired within two seconds, and the entries take up to 0.3 s to this VM. Three seconds after the return, no
+	// request may reach such a server, of which 0.4 s may have passed when this VM notices the return and acts, and a
+	// request may be on its way for 0.2 s.
+	renewalTime = 2300 * time.Millisecond
 	// expiryTime is the shortest outage in which entries can expire. They do so after three intervals of 1.2 s without renewal, of
 	// which one may have passed when the outage begins.
 	expiryTime = 2 * time.Second
@@ -58,12 +58,12 @@
 }
 
 // RecordStoreResponse records that the store has responded at a time, that long after its last response before, and reports whether it
-// was away for so long that entries of running servers may have expired. These servers get the RenewalTime, without interruptions by
+// was away for so long that entries of running servers may have expired. These servers get the renewalTime, without interruptions by
 // further failures. After a shorter failure, the servers whose entries were removed meanwhile have left.
 func (r *Roster) RecordStoreResponse(at time.Time, away time.Duration) bool {
 	switch {
 	case away >= expiryTime:
-		r.renewedBy = at.Add(RenewalTime)
+		r.renewedBy = at.Add(renewalTime)
 	case r.failingSince.IsZero():
 		return false
 	case !r.failingSince.Before(r.renewedBy):
--- a/io/guavajobs/item.go
+++ b/io/guavajobs/item.go
@@ -502,7 +502,11 @@
 		var q fasthttp.Request
 		l := r.runner.jobs
 		l.Codec.ItemRequest(&q, j.Host, r.item)
-		reservation.Release(l.Protocol.DecodeRequest(&q.Header).MisdirectedOutcome(), 0)
+		outcome := l.Protocol.DecodeRequest(&q.Header).MisdirectedOutcome()
+		reservation.Release(outcome, 0)
+		if outcome != guavaplace.Misdirected {
+			r.wait(r.runner.ctx, retryDelay) // the server stays in use, and may refuse the item each time
+		}
 		return guavaprogress.Retry, ""
 	case response.NotExecuted:
 		reservation.Release(guavaplace.Shed, 0)
