Read the newest version of the configuration every 2 s

What callers saw: on the own interface, a key whose withdrawal had been accepted was still accepted by other VMs 3 s later, up to 10 s, when the VM that had accepted the withdrawal was lost before it announced the change.

Cause: without the announcement, the other VMs learned of a change from their reads of the head row, every 10 to 11 s.

Change: they read it every 2 to 2.5 s, which is within the 3 s in which a change has to be in force.

Cost: 170 reads of the head row per second at 340 VMs (worked out), 34 before, of 2,000 allowed.

--- a/io/guavaoperator/store.go
+++ b/io/guavaoperator/store.go
@@ -24,10 +24,10 @@
 	changePrefix = "config/change/"
 	snapshotKey  = "snapshot/"
 
-	// pollInterval and pollJitter bound the rate of reads of the head row: 340 VMs make 32 to 34 reads/s of the 2,000
-	// allowed.
-	pollInterval = 10 * time.Second
-	pollJitter   = time.Second
+	// pollInterval and pollJitter are below the 3 s in which a change is in force on all VMs: the VM that has accepted a change
+	// may be lost before it announces it to others. 340 VMs make 136 to 170 reads of the head row per second of the 2,000 allowed.
+	pollInterval = 2 * time.Second
+	pollJitter   = 500 * time.Millisecond
 	// callTimeout is the timeout of one platform call, so that a missing response does not block the polling.
 	callTimeout = 5 * time.Second
 	// startLogInterval is the minimum time between log lines about a missing initial configuration.
@@ -112,7 +112,7 @@
 	}
 }
 
-// Run polls the head row every 10 s plus jitter and fetches missing changes until ctx ends.
+// Run polls the head row every 2 s plus jitter and fetches missing changes until ctx ends.
 func (s *Store) Run(ctx context.Context) error {
 	// The first wait is drawn from the whole interval, so that VMs started at the same time do not poll in step.
 	wait := rand.N(pollInterval)
